--- /dev/null
+++ b/src/main/java/tinford/Decide.java
@@ -0,0 +1,840 @@
+package tinford;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeSet;
+import tinford.api.*;
+
+/**
+ * All decisions of one gateway. A front makes one with the settings of the day and calls {@link #round} once for all
+ * that came in at one moment; the feed replays it as calls on {@link Inbox}, decisions go to {@link Writer}. The
+ * interface is in tinford.api; times are milliseconds; nothing here knows a front.
+ *
+ * <p>Main path (docs/design.md): add to the customer's window on the shared counter, read, judge by the weighted
+ * two-window estimate and the bound within the window; on silence, the posture of the plan. Beside it stand:
+ * <ol>
+ * <li>guard: {@link #allowed} holds every rule for every dispatch, {@link #finish} gives every final answer;
+ * <li>ceiling: an even slice of the hard ceiling, empty at start, that needs no counter;
+ * <li>ranking: servers in an order renewed by a timer, filled from the top up to learned limits, then a short line;
+ * <li>health: a server's share of failures against the median of the fleet;
+ * <li>further dispatches: from a budget fed by the value of first ones;
+ * <li>counter doubt: known silence, floors under emptied counts, no call for a quota known to be empty.
+ * </ol>
+ */
+public final class Decide implements Gateway, Inbox {
+    private static final long TICK = 1;
+    private static final double TICK_MS = 50; // line and waits are looked at this often; far below any target
+    private static final int TICKS_A_RANK = 4; // a new order each 200 ms: some answers a server lie between
+
+    private final Place place;
+    private final Limits limits;
+    private final boolean mustAsk;
+    private final Random chance;
+    private final Fleet fleet;
+    private final Quotas quotas;
+    private final TreeSet<Job> line = new TreeSet<>(
+            Comparator.comparingDouble((Job j) -> -j.worth).thenComparingLong(j -> j.seq));
+    private final Ring finished = new Ring();
+    private final Ring firsts = new Ring();
+    private double spare;
+    private double meanWorth = 1;
+    private long seq;
+    private int ticks;
+    private double now;
+    private Writer out;
+
+    public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, boolean mustAsk) {
+        this.place = place;
+        this.limits = limits;
+        this.mustAsk = mustAsk;
+        this.chance = new Random(seed);
+        this.fleet = new Fleet(rules, place.gateways);
+        this.quotas = new Quotas(counter);
+    }
+
+    @Override
+    public void round(double at, Feed feed, Writer writer) {
+        now = at;
+        out = writer;
+        feed.replay(this);
+        drainLine();
+    }
+
+    @Override
+    public void started() {
+        if (mustAsk) out.watch(true);
+        out.alarm(TICK, TICK_MS);
+    }
+
+    @Override
+    public void listRefused() {
+        if (mustAsk) out.watch(true);
+    }
+
+    @Override
+    public void listed(List<Srv> entries, boolean whole) {
+        fleet.list(entries, whole);
+    }
+
+    @Override
+    public void alarm(long token) {
+        if (token != TICK) return;
+        out.alarm(TICK, TICK_MS);
+        quotas.hurry();
+        if (ticks++ % TICKS_A_RANK == 0) fleet.rank();
+        for (Job job : new ArrayList<>(line)) {
+            if (now >= job.reachBy) finish(job, 0);
+        }
+    }
+
+    @Override
+    public void arrived(Req req) {
+        Book book = quotas.book(req.customer);
+        Job job = new Job(req, book, seq++, now);
+        req.notes = job;
+        meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
+        quotas.ask(job);
+    }
+
+    @Override
+    public void began(Req req, int hop) {
+        ((Job) req.notes).begun = true;
+    }
+
+    @Override
+    public void left(Req req) {
+        Job job = (Job) req.notes;
+        over(job);
+    }
+
+    @Override
+    public void probed(Srv srv, End how, double took, double[] load) {
+        // no probes are sent: what they cost buys nothing that answers do not tell
+    }
+
+    @Override
+    public void heard(int peer, String text) {
+        // peers serve exceptions only, and none needs them yet
+    }
+
+    @Override
+    public void counted(long name, End how, double took, double total) {
+        quotas.answer(name, how, total);
+    }
+
+    @Override
+    public void ended(Req req, int no, End how, double took, boolean closed, int seenUse, double settled,
+            double[] load) {
+        Job job = (Job) req.notes;
+        Hop hop = job.hops.get(no);
+        hop.end = how;
+        job.book.out--;
+        fleet.learn(hop, how, took);
+        if (how == End.GOOD) {
+            finished.add(now, 1);
+            if (settled > 0) quotas.settle(job, settled);
+        }
+        if (closed) {
+            over(job);
+        } else if (!job.over && !job.running()) {
+            again(job, how);
+        }
+    }
+
+    // ---- reqs
+
+    private final class Job {
+        final Req req;
+        final Book book;
+        final long seq;
+        final double targetAt;
+        double reachBy, worth;
+        final double askedAt;
+        final List<Hop> hops = new ArrayList<>(1);
+        Win countedIn;
+        double total;
+        boolean asking, begun, over;
+
+        Job(Req req, Book book, long seq, double at) {
+            this.req = req;
+            this.book = book;
+            this.seq = seq;
+            this.askedAt = at;
+            this.worth = req.frontend.value * book.plan.price; // a unit: units stand for work as well as for worth
+            this.targetAt = at + req.frontend.target;
+            this.reachBy = Math.min(targetAt - fleet.typical(req.frontend), req.expires - 2 * TICK_MS);
+        }
+
+        boolean running() {
+            for (Hop h : hops) {
+                if (h.end == null) return true;
+            }
+            return false;
+        }
+
+        boolean mayHaveRun() {
+            for (Hop h : hops) {
+                if (h.end == null || h.end.mayHaveRun) return true;
+            }
+            return false;
+        }
+    }
+
+    private static final class Hop {
+        final Job job;
+        final Node node;
+        final double at;
+        final String zone;
+        final int cell;
+        End end;
+        boolean late;
+
+        Hop(Job job, Node node, double at) {
+            this.job = job;
+            this.node = node;
+            this.at = at;
+            this.zone = node.srv.zone;
+            this.cell = node.srv.cell;
+        }
+    }
+
+    /** A req within its quota goes to a server now, into the line, or is denied when the line cannot be in time. */
+    private void admit(Job job) {
+        if (send(job, fleet.pick(job))) return;
+        double rate = finished.total(now) / Ring.SPAN;
+        double wait = line.headSet(job).size() / Math.max(rate, 1 / job.req.frontend.target);
+        if (now + wait > job.reachBy || now + job.book.ceilingWait(job.req.units) > job.reachBy) {
+            finish(job, wait);
+        } else {
+            line.add(job);
+            job.book.lined += job.req.units;
+        }
+    }
+
+    private void unline(Job job) {
+        if (line.remove(job)) job.book.lined -= job.req.units;
+    }
+
+    /** Nothing more is done for the req; units that were counted but never sent on go back. */
+    private void over(Job job) {
+        job.over = true;
+        unline(job);
+        if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
+    }
+
+    private void drainLine() {
+        if (line.isEmpty()) return;
+        for (Job job : new ArrayList<>(line)) {
+            if (send(job, fleet.pick(job))) {
+                unline(job);
+            } else if (!fleet.room()) {
+                return;
+            }
+        }
+    }
+
+    /**
+     * A dispatch ended without an answer for the client. What surely never ran goes out again while the target is in
+     * reach; what may have run draws on a budget that value feeds, so that failures cannot multiply the load.
+     */
+    private void again(Job job, End how) {
+        boolean free = !how.mayHaveRun;
+        job.reachBy = Math.min(job.targetAt - fleet.typical(job.req.frontend), job.req.expires - 2 * TICK_MS);
+        if (now >= job.reachBy || job.hops.size() >= limits.maxDispatches || !free && spare < 1) {
+            finish(job, 0);
+            return;
+        }
+        if (!free) spare--;
+        admit(job);
+    }
+
+    /** The one place of final answers: a denial where the rules let it promise that a retry is harmless. */
+    private void finish(Job job, double wait) {
+        over(job);
+        Effect effect = job.req.frontend.effect;
+        boolean harmless = effect == Effect.REPLAYABLE || !job.mayHaveRun()
+                || effect == Effect.UNIQUED && job.req.frontend.group == Group.ALL;
+        if (harmless) {
+            out.deny(job.req, Math.max(wait, 2 * TICK_MS));
+        } else {
+            out.abort(job.req);
+        }
+    }
+
+    // ---- guard
+
+    /** Every rule on dispatches, asked by every dispatch. */
+    private boolean allowed(Job job, Node node) {
+        Frontend f = job.req.frontend;
+        if (job.over || job.begun || now >= job.req.expires || node.srv.state != Srv.State.UP
+                || job.hops.size() >= limits.maxDispatches) {
+            return false;
+        }
+        for (Hop h : job.hops) {
+            if (h.end == null && !limits.mayDuplicate) return false;
+            if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.REPLAYABLE) continue;
+            boolean drops = f.group == Group.ALL || f.group == Group.ZONE && h.zone.equals(node.srv.zone)
+                    || f.group == Group.CELL && h.cell == node.srv.cell;
+            if (f.effect == Effect.NON_REPLAYABLE || !drops || now - h.at >= f.repeatWindow - place.tick) {
+                return false;
+            }
+        }
+        if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return false;
+        return !node.cold() || node.coldTokens() >= 1;
+    }
+
+    private boolean send(Job job, Node node) {
+        if (node == null || !allowed(job, node)) return false;
+        if (job.hops.isEmpty()) {
+            job.book.draw(job.req.units);
+            spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
+            firsts.add(now, job.req.units);
+        }
+        Hop hop = new Hop(job, node, now);
+        job.hops.add(hop);
+        job.book.out++;
+        fleet.sent(hop);
+        out.dispatch(job.req, node.srv, 0);
+        return true;
+    }
+
+    // ---- servers
+
+    private final class Node {
+        final Srv srv;
+        final Ring sent = new Ring();
+        final Ring answers = new Ring();
+        final Ring late = new Ring();
+        final Ring strain = new Ring();
+        final List<Hop> running = new ArrayList<>();
+        double limit = 4; // own dispatches at once; learned from here on, so only the first seconds feel it
+        int most;
+        double barredUntil;
+        int unreached;
+        boolean sick;
+        double order;
+        double meanStrain = 0.2;
+        double tokens, tokensAt, born;
+
+        Node(Srv srv) {
+            this.srv = srv;
+        }
+
+        boolean cold() {
+            return srv.born > 0 && now - srv.born < fleet.rules.coldTime;
+        }
+
+        /**
+         * Guards a cold server: this gateway's share of what it surely can do, inferred from what warm servers are
+         * sent now, with a margin. It starts empty, as a restarted gateway does not know what it sent before.
+         */
+        double coldTokens() {
+            if (born != srv.born) {
+                born = srv.born;
+                tokens = 0;
+                tokensAt = now;
+            }
+            double age = Math.max(0, now - srv.born);
+            double part = fleet.rules.coldFrom + (1 - fleet.rules.coldFrom) * age / fleet.rules.coldTime;
+            double rate = COLD_MARGIN * fleet.rules.fallMultiple * part * fleet.warmRate;
+            tokens = Math.min(1, tokens + (now - tokensAt) * rate);
+            tokensAt = now;
+            return tokens;
+        }
+    }
+
+    // the slowest servers do half of the mean: a third of the multiple leaves them room for bursts of heavy work
+    private static final double COLD_MARGIN = 0.3;
+
+    /** Ranking and health. */
+    private final class Fleet {
+        final Rules rules;
+        final int gateways;
+        final List<Node> nodes = new ArrayList<>();
+        final List<Node> ranked = new ArrayList<>();
+        double warmRate;
+        double medianStrain = 0.2;
+        double meanUnits = 1;
+
+        Fleet(Rules rules, int gateways) {
+            this.rules = rules;
+            this.gateways = gateways;
+        }
+
+        void list(List<Srv> entries, boolean whole) {
+            if (whole) {
+                for (Node n : nodes) {
+                    if (!entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED;
+                }
+            }
+            for (Srv s : entries) {
+                if (s.notes == null) {
+                    Node n = new Node(s);
+                    n.order = chance.nextDouble();
+                    s.notes = n;
+                    nodes.add(n);
+                }
+            }
+            rank();
+        }
+
+        double typical(Frontend f) {
+            return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target;
+        }
+
+        boolean room() {
+            for (Node n : ranked) {
+                if (n.running.size() < n.limit) return true;
+            }
+            return false;
+        }
+
+        /** From the top of the order, in three passes that each let a server fill a further third of its limit. */
+        Node pick(Job job) {
+            for (int pass = 1; pass <= 3; pass++) {
+                for (Node n : ranked) {
+                    if (n.running.size() < Math.ceil(n.limit * pass / 3) && now >= n.barredUntil
+                            && (!n.sick || n.running.isEmpty()) && allowed(job, n)) {
+                        return n;
+                    }
+                }
+            }
+            return null;
+        }
+
+        void sent(Hop hop) {
+            Node n = hop.node;
+            n.running.add(hop);
+            n.most = Math.max(n.most, n.running.size());
+            n.sent.add(now, 1);
+            double units = hop.job.req.units;
+            meanUnits += 0.02 * (units - meanUnits);
+            if (n.cold()) n.tokens -= Math.max(1, units / meanUnits);
+        }
+
+        void learn(Hop hop, End how, double took) {
+            Node n = hop.node;
+            n.running.remove(hop);
+            double part = took / hop.job.req.frontend.target;
+            switch (how) {
+                case GOOD -> {
+                    n.unreached = 0;
+                    answer(n, part, part > 1 && !hop.late);
+                }
+                case TIMED_OUT -> answer(n, Math.max(1, part), !hop.late);
+                case ERROR, BROKEN -> answer(n, n.meanStrain, true);
+                case FULL -> {
+                    n.limit = Math.max(1, n.limit * 0.7);
+                    n.barredUntil = now + 2 * TICK_MS;
+                }
+                case UNREACHABLE -> {
+                    // down, or its table of connections full: asked again ever more rarely, up to 4 s
+                    n.barredUntil = now + 250 * (1 << Math.min(4, n.unreached++));
+                }
+                default -> { }
+            }
+        }
+
+        private void answer(Node n, double part, boolean late) {
+            n.answers.add(now, 1);
+            n.strain.add(now, Math.min(part, 2));
+            if (late) n.late.add(now, 1);
+        }
+
+        void rank() {
+            ranked.clear();
+            double warmSent = 0;
+            int warm = 0;
+            for (Node n : nodes) {
+                if (n.srv.state != Srv.State.UP) continue;
+                ranked.add(n);
+                measure(n);
+                if (!n.cold()) {
+                    warm++;
+                    warmSent += n.sent.total(now);
+                }
+            }
+            warmRate = warm == 0 ? 0 : warmSent / warm / Ring.SPAN;
+            double usual = median(n -> share(n));
+            medianStrain = median(n -> n.meanStrain);
+            for (Node n : ranked) {
+                // against the median: when all are slow, no server is at fault and none is put aside
+                n.sick = n.late.total(now) >= 2 && share(n) > usual + 0.3;
+                n.order = n.meanStrain * (1 + 0.2 * chance.nextDouble()); // gateways must not agree on one top
+            }
+            ranked.sort(Comparator.comparingDouble(n -> n.order));
+        }
+
+        private void measure(Node n) {
+            double seen = n.answers.total(now);
+            double sum = n.strain.total(now);
+            // what is still out tells of a stalled server before its answers do
+            for (Hop h : n.running) {
+                double part = (now - h.at) / h.job.req.frontend.target;
+                if (part > n.meanStrain) {
+                    seen++;
+                    sum += Math.min(part, 2);
+                }
+                if (part > 1 && !h.late) {
+                    h.late = true;
+                    n.late.add(now, 1);
+                }
+            }
+            n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
+            if (n.meanStrain > 0.45) {
+                n.limit = Math.max(1, n.limit * 0.93);
+            } else if (n.meanStrain < 0.35 && n.most >= 0.7 * n.limit) {
+                n.limit = Math.min(200, n.limit + 0.3);
+            }
+            n.most = n.running.size();
+        }
+
+        private double share(Node n) {
+            return n.late.total(now) / Math.max(4, n.answers.total(now) + n.running.size());
+        }
+
+        private double median(java.util.function.ToDoubleFunction<Node> of) {
+            double[] all = ranked.stream().mapToDouble(of).toArray();
+            Arrays.sort(all);
+            return all.length == 0 ? 0 : all[(all.length - 1) / 2];
+        }
+    }
+
+    // ---- quotas
+
+    /** One window of one customer on the counter. */
+    private static final class Win {
+        final long index;
+        final double start;
+        double total; // as last read, with what a flush lost
+        double readAt = Double.NEGATIVE_INFINITY;
+        double own; // net of this gateway's adds that the counter holds for sure
+        double lost; // what a flush took off
+        boolean read, asked;
+
+        Win(long index, double start) {
+            this.index = index;
+            this.start = start;
+        }
+    }
+
+    private static final class Call {
+        final Book book;
+        final Win win;
+        final Job job;
+        final double amount, owed;
+        boolean decided, passed;
+
+        Call(Book book, Win win, Job job, double amount, double owed) {
+            this.book = book;
+            this.win = win;
+            this.job = job;
+            this.amount = amount;
+            this.owed = owed;
+        }
+    }
+
+    /** A customer's quota as this gateway knows it. */
+    private final class Book {
+        final Customer customer;
+        final Plan plan;
+        final double slice, window;
+        final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
+        Win cur;
+        Win prev;
+        double owed; // used, and not yet on the counter
+        double local, localAt, ceiling, ceilingAt, lined;
+        int out;
+
+        Book(Customer customer) {
+            this.customer = customer;
+            this.plan = customer.plan;
+            this.slice = 1.0 / Math.max(1, customer.width);
+            this.window = plan.rate > 0 ? Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate) : MAX_WINDOW;
+            this.local = plan.burst * slice;
+            this.localAt = now;
+            this.ceilingAt = now;
+        }
+
+        void roll() {
+            long index = (long) Math.floor(now / window);
+            if (cur == null || cur.index != index) {
+                prev = cur != null && cur.index == index - 1 ? cur : new Win(index - 1, (index - 1) * window);
+                cur = new Win(index, index * window);
+            }
+        }
+
+        boolean fits(double total) {
+            double into = Math.min(window, now - cur.start);
+            return prev.total * (1 - into / window) + total <= plan.rate * window + plan.burst
+                    && total <= plan.burst + plan.rate * into;
+        }
+
+        /** How long until these units will fit, if nobody else asks. */
+        double fitsIn(double units) {
+            double total = cur.total + units;
+            double limit = plan.rate * window + plan.burst;
+            double at = (total - plan.burst) / plan.rate;
+            if (prev.total > 0) at = Math.max(at, window * (1 - (limit - total) / prev.total));
+            if (at > window) {
+                at = window + (cur.total > 0 ? Math.max(0, window * (1 - (limit - units) / cur.total)) : 0);
+            }
+            return Math.max(1, at - (now - cur.start));
+        }
+
+        boolean takeLocal(double units) {
+            local = Math.min(plan.burst * slice, local + (now - localAt) * plan.rate * slice);
+            localAt = now;
+            if (local < units) return false;
+            local -= units;
+            return true;
+        }
+
+        private void fill() {
+            ceiling = Math.min(plan.ceilingBurst * slice, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
+            ceilingAt = now;
+        }
+
+        /** Ceiling and cap on open reqs, for a first dispatch. */
+        boolean mayOpen(double units) {
+            fill();
+            return (plan.ceilingRate <= 0 || ceiling >= units) && (plan.maxOut <= 0 || out < openSlice());
+        }
+
+        /** The cap is shared as the counter shows that the traffic is; an even share stands in where it tells little. */
+        private double openSlice() {
+            if (cur == null) return Math.max(1, plan.maxOut * slice);
+            double own = Math.max(0, cur.own) + Math.max(0, prev.own);
+            return Math.max(1, plan.maxOut * Math.min(1, (own + plan.burst * slice)
+                    / Math.max(1e-9, cur.total + prev.total + plan.burst)));
+        }
+
+        double ceilingWait(double units) {
+            fill();
+            return plan.ceilingRate <= 0 ? 0 : (units + lined - ceiling) / (plan.ceilingRate * slice);
+        }
+
+        void draw(double units) {
+            if (plan.ceilingRate > 0) ceiling -= units;
+        }
+    }
+
+    private static final double BURSTS_A_WINDOW = 4; // a burst may go beyond at each edge: few edges
+    private static final double MAX_WINDOW = 29_000; // two windows lie within the counter's memory of a minute
+    private static final int SILENT_AFTER = 4; // unanswered calls in a row
+    private static final double ASK_SILENT_MS = 100; // one call this often finds the end of a silence
+    private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
+
+    /** The main path and counter doubt. */
+    private final class Quotas {
+        final CounterTerms terms;
+        final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
+        final ArrayDeque<Call> asking = new ArrayDeque<>();
+        int unanswered;
+        double askedAt = Double.NEGATIVE_INFINITY;
+
+        Quotas(CounterTerms terms) {
+            this.terms = terms;
+        }
+
+        Book book(Customer c) {
+            if (c.notes == null) c.notes = new Book(c);
+            return (Book) c.notes;
+        }
+
+        void ask(Job job) {
+            Book b = job.book;
+            if (b.plan.rate <= 0) {
+                admit(job);
+                return;
+            }
+            b.roll();
+            if (!terms.present) {
+                posture(job);
+                return;
+            }
+            double units = job.req.units;
+            if (b.cur.read && now - b.cur.readAt < TRUST_MS && !b.fits(b.cur.total + units)) {
+                finish(job, b.fitsIn(units));
+                return;
+            }
+            boolean silent = unanswered >= SILENT_AFTER;
+            if (silent && now - askedAt < ASK_SILENT_MS) {
+                if (posture(job)) b.owed += units;
+                return;
+            }
+            askedAt = now;
+            if (!b.prev.read && !b.prev.asked) {
+                b.prev.asked = true;
+                call(b, b.prev, null, 0);
+            }
+            Call call = call(b, b.cur, job, units);
+            if (silent) {
+                call.decided = true;
+                call.passed = posture(job);
+            } else {
+                asking.add(call);
+            }
+        }
+
+        private Call call(Book b, Win win, Job job, double units) {
+            double owed = win == b.cur ? b.owed : 0;
+            if (win == b.cur) b.owed = 0;
+            Call call = new Call(b, win, job, units + owed, owed);
+            long name = (b.customer.id << 30) + (win.index & (1 << 30) - 1);
+            calls.computeIfAbsent(name, n -> new ArrayDeque<>(2)).add(call);
+            out.add(name, call.amount, 2 * b.window + 1000);
+            return call;
+        }
+
+        /** Waits are bounded also where the counter's own time-out is long. */
+        void hurry() {
+            while (!asking.isEmpty()) {
+                Call call = asking.peek();
+                if (!call.decided && now - call.job.askedAt < 0.05 * call.job.req.frontend.target) return;
+                asking.poll();
+                settleSilence(call);
+            }
+        }
+
+        private void settleSilence(Call call) {
+            if (!call.decided) {
+                call.decided = true;
+                call.passed = !call.job.over && posture(call.job);
+            }
+        }
+
+        void answer(long name, End how, double total) {
+            ArrayDeque<Call> queue = calls.get(name);
+            if (queue == null) return;
+            Call call = queue.poll();
+            if (queue.isEmpty()) calls.remove(name);
+            Book b = call.book;
+            if (how != End.GOOD) {
+                unanswered++;
+                if (how != End.TIMED_OUT) {
+                    b.owed += call.owed; // surely not added
+                }
+                if (call.job != null) {
+                    settleSilence(call);
+                    if (how != End.TIMED_OUT && call.passed) b.owed += call.amount - call.owed;
+                } else if (call.win == b.prev) {
+                    b.prev.asked = false;
+                    judgeLater(b);
+                }
+                return;
+            }
+            unanswered = 0;
+            read(call, total);
+            if (call.job == null) {
+                judgeLater(b);
+            } else if (call.decided) {
+                keepOrTakeBack(call, call.passed);
+            } else {
+                call.decided = true;
+                call.job.total = call.win.total;
+                call.job.countedIn = call.win;
+                if (call.win == b.cur && !b.prev.read && b.prev.asked) {
+                    b.judgedLater.add(call.job);
+                } else {
+                    judge(call.job);
+                }
+            }
+        }
+
+        /** A total below what this gateway alone has added means that the counter lost it: what was known stays. */
+        private void read(Call call, double total) {
+            Win w = call.win;
+            w.own += call.amount;
+            if (total < w.own - terms.largest) {
+                w.lost = Math.max(w.lost, w.total - Math.max(0, total - call.amount));
+                w.own = total;
+            }
+            w.total = total + w.lost;
+            w.read = true;
+            w.readAt = now;
+        }
+
+        private void judgeLater(Book b) {
+            while (!b.judgedLater.isEmpty()) judge(b.judgedLater.poll());
+        }
+
+        private void judge(Job job) {
+            Book b = job.book;
+            b.roll();
+            if (job.over) {
+                takeBack(job);
+            } else if (b.fits(b.cur == job.countedIn ? job.total : b.cur.total + job.req.units)) {
+                admit(job);
+            } else {
+                finish(job, b.fitsIn(0));
+            }
+        }
+
+        private void keepOrTakeBack(Call call, boolean keep) {
+            call.job.countedIn = call.win;
+            if (!keep || call.job.over && call.job.hops.isEmpty()) takeBack(call.job);
+        }
+
+        private void takeBack(Job job) {
+            job.countedIn.total -= job.req.units;
+            call(job.book, job.countedIn, null, -job.req.units);
+            job.countedIn = null;
+        }
+
+        /** When the counter says nothing: soft plans pass, others live on an even slice. */
+        private boolean posture(Job job) {
+            Plan p = job.book.plan;
+            boolean inside = job.book.takeLocal(job.req.units);
+            if (!inside && !(p.beyondValue > 0 && p.beyondCost <= 0)) {
+                finish(job, (job.req.units - job.book.local) / (p.rate * job.book.slice));
+                return false;
+            }
+            if (!inside) job.worth *= p.beyondValue;
+            admit(job);
+            return inside;
+        }
+
+        /** The difference rides on the customer's next call. */
+        void settle(Job job, double settled) {
+            if (job.countedIn != null) {
+                job.book.owed += settled - job.req.units;
+                job.countedIn = null;
+            }
+        }
+    }
+
+    /** What was measured lately: fixed buckets of time, used again in a ring. */
+    private static final class Ring {
+        private static final int BUCKETS = 8;
+        private static final double BUCKET_MS = 500;
+        static final double SPAN = BUCKETS * BUCKET_MS;
+        private final double[] sums = new double[BUCKETS];
+        private final long[] turns = new long[BUCKETS];
+
+        void add(double at, double amount) {
+            long turn = (long) (at / BUCKET_MS);
+            int i = (int) (turn % BUCKETS);
+            if (turns[i] != turn) {
+                turns[i] = turn;
+                sums[i] = 0;
+            }
+            sums[i] += amount;
+        }
+
+        double total(double at) {
+            long turn = (long) (at / BUCKET_MS);
+            double total = 0;
+            for (int i = 0; i < BUCKETS; i++) {
+                if (turn - turns[i] < BUCKETS) total += sums[i];
+            }
+            return total;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/Main.java
@@ -0,0 +1,17 @@
+package tinford;
+
+import java.io.IOException;
+import tinford.benchlink.Bench;
+
+/** Picks the front through which the decisions are asked. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) throws IOException {
+        if (args.length == 1 && args[0].equals("benchlink")) {
+            System.exit(Bench.serve(System.in, System.out, System.err, Decide::new));
+        }
+        System.err.println("usage: java -jar tinford.jar benchlink");
+        System.exit(2);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/api/Inbox.java
@@ -0,0 +1,40 @@
+package tinford.api;
+
+import java.util.List;
+
+/** All that can reach a gateway, one call each. */
+public interface Inbox {
+    /** The first call of a gateway's life, alone in carrying no input: it may set its timers. */
+    void started();
+
+    /** Entries of the server list, already brought up to date; {@code whole} if absent servers are gone. */
+    void listed(List<Srv> entries, boolean whole);
+
+    /** A call on discovery failed or the subscription broke. */
+    void listRefused();
+
+    void arrived(Req req);
+
+    /** The answer of a streamed req has begun to flow. */
+    void began(Req req, int hop);
+
+    /**
+     * A dispatch has ended.
+     *
+     * @param closed the req is over for the client
+     * @param seenUse 1 + the customer's metered use in percent of its rate, or 0
+     * @param settled true units, told with the first good answer, or 0
+     * @param load the server's load report or null
+     */
+    void ended(Req req, int hop, End how, double took, boolean closed, int seenUse, double settled, double[] load);
+
+    void left(Req req);
+
+    void alarm(long token);
+
+    void probed(Srv srv, End how, double took, double[] load);
+
+    void heard(int peer, String text);
+
+    void counted(long name, End how, double took, double total);
+}
--- /dev/null
+++ b/src/main/java/tinford/api/Srv.java
@@ -0,0 +1,21 @@
+package tinford.api;
+
+/** A server as the list last showed it to this gateway. */
+public final class Srv {
+    /** What the list says of a server. */
+    public enum State { UP, DRAINING, REMOVED }
+
+    public final String id;
+    public String zone;
+    public int cell;
+    public State state;
+    public double size;
+    /** Its last start, or 0 for one long past. */
+    public double born;
+    /** The decisions' own notes. */
+    public Object notes;
+
+    public Srv(String id) {
+        this.id = id;
+    }
+}
