--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -12,16 +12,17 @@
 import tinford.api.*;
 
 /**
- * All decisions of one gateway. A front makes one with the settings of the day and calls {@link #round} once for all
- * that came in at one moment; the feed replays it as calls on {@link Inbox}, decisions go to {@link Writer}. The
- * interface is in tinford.api; times are milliseconds; nothing here knows a front.
+ * All decisions of one gateway. A front makes one with the settings of the day and calls {@link #round} once
+ * for all that came in at one moment; the feed replays it as calls on {@link Inbox}, decisions go to
+ * {@link Writer}. The interface is in tinford.api; times are milliseconds; nothing here knows a front.
  *
- * <p>Main path (docs/design.md): add to the customer's window on the shared counter, read, judge by the weighted
- * two-window estimate and the bound within the window; on silence, the posture of the plan. Beside it stand:
+ * <p>Main path (docs/design.md): add to the customer's window on the shared counter, read, judge by the
+ * weighted two-window estimate and the bound within the window; on silence, the posture of the plan.
+ * Beside it stand:
  * <ol>
  * <li>guard: {@link #allowed} holds every rule for every dispatch, {@link #finish} gives every final answer;
  * <li>ceiling: an even slice of the hard ceiling, empty at start, that needs no counter;
- * <li>ranking: servers in an order renewed by a timer, filled from the top up to learned limits, then a short line;
+ * <li>ranking: servers in an order renewed by a timer, filled from the top to learned limits, then a line;
  * <li>health: a server's share of failures against the median of the fleet;
  * <li>further dispatches: from a budget fed by the value of first ones;
  * <li>counter doubt: known silence, floors under emptied counts, no call for a quota known to be empty.
@@ -99,7 +100,11 @@
         Job job = new Job(req, book, seq++, now);
         req.notes = job;
         meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
-        quotas.ask(job);
+        if (now >= job.reachBy) {
+            finish(job, 0); // a client about to give up must not be left to wait for the counter
+        } else {
+            quotas.ask(job);
+        }
     }
 
     @Override
@@ -166,9 +171,14 @@
             this.book = book;
             this.seq = seq;
             this.askedAt = at;
-            this.worth = req.frontend.value * book.plan.price; // a unit: units stand for work as well as for worth
+            this.worth = req.frontend.value * book.plan.price; // a unit, as units stand for work too
             this.targetAt = at + req.frontend.target;
-            this.reachBy = Math.min(targetAt - fleet.typical(req.frontend), req.expires - 2 * TICK_MS);
+            reach();
+        }
+
+        /** Later than this a dispatch would not be answered in time, neither for the target nor the client. */
+        void reach() {
+            reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req.frontend);
         }
 
         boolean running() {
@@ -204,7 +214,7 @@
         }
     }
 
-    /** A req within its quota goes to a server now, into the line, or is denied when the line cannot be in time. */
+    /** A req within its quota goes to a server, into the line, or is denied when the line would be late. */
     private void admit(Job job) {
         if (send(job, fleet.pick(job))) return;
         double rate = finished.total(now) / Ring.SPAN;
@@ -240,12 +250,12 @@
     }
 
     /**
-     * A dispatch ended without an answer for the client. What surely never ran goes out again while the target is in
-     * reach; what may have run draws on a budget that value feeds, so that failures cannot multiply the load.
+     * A dispatch ended without an answer for the client. What surely never ran goes out again while the
+     * target is in reach; what may have run draws on a budget fed by value: failures cannot multiply load.
      */
     private void again(Job job, End how) {
         boolean free = !how.mayHaveRun;
-        job.reachBy = Math.min(job.targetAt - fleet.typical(job.req.frontend), job.req.expires - 2 * TICK_MS);
+        job.reach();
         if (now >= job.reachBy || job.hops.size() >= limits.maxDispatches || !free && spare < 1) {
             finish(job, 0);
             return;
@@ -331,8 +341,8 @@
         }
 
         /**
-         * Guards a cold server: this gateway's share of what it surely can do, inferred from what warm servers are
-         * sent now, with a margin. It starts empty, as a restarted gateway does not know what it sent before.
+         * Guards a cold server: this gateway's share of what it surely can do, inferred from what warm ones
+         * are sent now, with a margin. Empty at start: a restarted gateway does not know what it sent before.
          */
         double coldTokens() {
             if (born != srv.born) {
@@ -349,7 +359,7 @@
         }
     }
 
-    // the slowest servers do half of the mean: a third of the multiple leaves them room for bursts of heavy work
+    // the slowest do half of the mean: a third of the multiple leaves them room for bursts of heavy work
     private static final double COLD_MARGIN = 0.3;
 
     /** Ranking and health. */
@@ -395,7 +405,7 @@
             return false;
         }
 
-        /** From the top of the order, in three passes that each let a server fill a further third of its limit. */
+        /** From the top of the order, in three passes that each open a further third of the limits. */
         Node pick(Job job) {
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
@@ -466,7 +476,7 @@
             for (Node n : ranked) {
                 // against the median: when all are slow, no server is at fault and none is put aside
                 n.sick = n.late.total(now) >= 2 && share(n) > usual + 0.3;
-                n.order = n.meanStrain * (1 + 0.2 * chance.nextDouble()); // gateways must not agree on one top
+                n.order = n.meanStrain * (1 + 0.2 * chance.nextDouble()); // no herd on one top
             }
             ranked.sort(Comparator.comparingDouble(n -> n.order));
         }
@@ -556,7 +566,8 @@
             this.customer = customer;
             this.plan = customer.plan;
             this.slice = 1.0 / Math.max(1, customer.width);
-            this.window = plan.rate > 0 ? Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate) : MAX_WINDOW;
+            this.window = plan.rate <= 0 ? MAX_WINDOW
+                    : Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate);
             this.local = plan.burst * slice;
             this.localAt = now;
             this.ceilingAt = now;
@@ -597,7 +608,8 @@
         }
 
         private void fill() {
-            ceiling = Math.min(plan.ceilingBurst * slice, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
+            double full = plan.ceilingBurst * slice;
+            ceiling = Math.min(full, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
             ceilingAt = now;
         }
 
@@ -607,7 +619,7 @@
             return (plan.ceilingRate <= 0 || ceiling >= units) && (plan.maxOut <= 0 || out < openSlice());
         }
 
-        /** The cap is shared as the counter shows that the traffic is; an even share stands in where it tells little. */
+        /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
         private double openSlice() {
             if (cur == null) return Math.max(1, plan.maxOut * slice);
             double own = Math.max(0, cur.own) + Math.max(0, prev.own);
@@ -626,7 +638,7 @@
     }
 
     private static final double BURSTS_A_WINDOW = 4; // a burst may go beyond at each edge: few edges
-    private static final double MAX_WINDOW = 29_000; // two windows lie within the counter's memory of a minute
+    private static final double MAX_WINDOW = 29_000; // two fit the counter's memory of a minute
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
     private static final double ASK_SILENT_MS = 100; // one call this often finds the end of a silence
     private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
@@ -693,13 +705,15 @@
             return call;
         }
 
-        /** Waits are bounded also where the counter's own time-out is long. */
+        /** Bounds every wait, whichever answer is missing: of this window's name or of the one before. */
         void hurry() {
             while (!asking.isEmpty()) {
                 Call call = asking.peek();
-                if (!call.decided && now - call.job.askedAt < 0.05 * call.job.req.frontend.target) return;
+                boolean waits = !call.decided || call.book.judgedLater.contains(call.job);
+                if (waits && now - call.job.askedAt < 0.05 * call.job.req.frontend.target) return;
                 asking.poll();
                 settleSilence(call);
+                if (call.book.judgedLater.remove(call.job)) judge(call.job);
             }
         }
 
@@ -724,8 +738,8 @@
                 if (call.job != null) {
                     settleSilence(call);
                     if (how != End.TIMED_OUT && call.passed) b.owed += call.amount - call.owed;
-                } else if (call.win == b.prev) {
-                    b.prev.asked = false;
+                } else if (call.amount == 0) {
+                    call.win.asked = false;
                     judgeLater(b);
                 }
                 return;
@@ -748,7 +762,7 @@
             }
         }
 
-        /** A total below what this gateway alone has added means that the counter lost it: what was known stays. */
+        /** A total below what this gateway alone added means a flush: what was known stays as a floor. */
         private void read(Call call, double total) {
             Win w = call.win;
             w.own += call.amount;
