--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -42,7 +42,6 @@
     private final TreeSet<Job> line = new TreeSet<>(
             Comparator.comparingDouble((Job j) -> -j.worth).thenComparingLong(j -> j.seq));
     private final Ring finished = new Ring();
-    private final Ring firsts = new Ring();
     private double spare;
     private double meanWorth = 1;
     private long seq;
@@ -74,14 +73,10 @@
     }
 
     @Override
-    public void listRefused() {
-        if (mustAsk) out.watch(true);
-    }
+    public void listRefused() { if (mustAsk) out.watch(true); }
 
     @Override
-    public void listed(List<Srv> entries, boolean whole) {
-        fleet.list(entries, whole);
-    }
+    public void listed(List<Srv> entries, boolean whole) { fleet.list(entries, whole); }
 
     @Override
     public void alarm(long token) {
@@ -89,9 +84,7 @@
         out.alarm(TICK, TICK_MS);
         quotas.hurry();
         if (ticks++ % TICKS_A_RANK == 0) fleet.rank();
-        for (Job job : new ArrayList<>(line)) {
-            if (now >= job.reachBy) finish(job, 0);
-        }
+        for (Job job : new ArrayList<>(line)) { if (now >= job.reachBy) finish(job, 0); }
     }
 
     @Override
@@ -108,9 +101,7 @@
     }
 
     @Override
-    public void began(Req req, int hop) {
-        ((Job) req.notes).begun = true;
-    }
+    public void began(Req req, int hop) { ((Job) req.notes).begun = true; }
 
     @Override
     public void left(Req req) {
@@ -129,9 +120,7 @@
     }
 
     @Override
-    public void counted(long name, End how, double took, double total) {
-        quotas.answer(name, how, total);
-    }
+    public void counted(long name, End how, double took, double total) { quotas.answer(name, how, total); }
 
     @Override
     public void ended(Req req, int no, End how, double took, boolean closed, int seenUse, double settled,
@@ -164,7 +153,7 @@
         final List<Hop> hops = new ArrayList<>(1);
         Win countedIn;
         double total;
-        boolean asking, begun, over;
+        boolean begun, over;
 
         Job(Req req, Book book, long seq, double at) {
             this.req = req;
@@ -182,16 +171,12 @@
         }
 
         boolean running() {
-            for (Hop h : hops) {
-                if (h.end == null) return true;
-            }
+            for (Hop h : hops) { if (h.end == null) return true; }
             return false;
         }
 
         boolean mayHaveRun() {
-            for (Hop h : hops) {
-                if (h.end == null || h.end.mayHaveRun) return true;
-            }
+            for (Hop h : hops) { if (h.end == null || h.end.mayHaveRun) return true; }
             return false;
         }
     }
@@ -200,8 +185,6 @@
         final Job job;
         final Node node;
         final double at;
-        final String zone;
-        final int cell;
         End end;
         boolean late;
 
@@ -209,8 +192,6 @@
             this.job = job;
             this.node = node;
             this.at = at;
-            this.zone = node.srv.zone;
-            this.cell = node.srv.cell;
         }
     }
 
@@ -227,9 +208,7 @@
         }
     }
 
-    private void unline(Job job) {
-        if (line.remove(job)) job.book.lined -= job.req.units;
-    }
+    private void unline(Job job) { if (line.remove(job)) job.book.lined -= job.req.units; }
 
     /** Nothing more is done for the req; units that were counted but never sent on go back. */
     private void over(Job job) {
@@ -283,14 +262,12 @@
     private boolean allowed(Job job, Node node) {
         Frontend f = job.req.frontend;
         if (job.over || job.begun || now >= job.req.expires || node.srv.state != Srv.State.UP
-                || job.hops.size() >= limits.maxDispatches) {
-            return false;
-        }
+                || job.hops.size() >= limits.maxDispatches) { return false; }
         for (Hop h : job.hops) {
             if (h.end == null && !limits.mayDuplicate) return false;
             if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.REPLAYABLE) continue;
-            boolean drops = f.group == Group.ALL || f.group == Group.ZONE && h.zone.equals(node.srv.zone)
-                    || f.group == Group.CELL && h.cell == node.srv.cell;
+            boolean drops = f.group == Group.ALL || f.group == Group.ZONE && h.node.srv.zone.equals(node.srv.zone)
+                    || f.group == Group.CELL && h.node.srv.cell == node.srv.cell;
             if (f.effect == Effect.NON_REPLAYABLE || !drops || now - h.at >= f.repeatWindow - place.tick) {
                 return false;
             }
@@ -304,7 +281,6 @@
         if (job.hops.isEmpty()) {
             job.book.draw(job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
-            firsts.add(now, job.req.units);
         }
         Hop hop = new Hop(job, node, now);
         job.hops.add(hop);
@@ -323,7 +299,8 @@
         final Ring late = new Ring();
         final Ring strain = new Ring();
         final List<Hop> running = new ArrayList<>();
-        double limit = 4; // own dispatches at once; learned from here on, so only the first seconds feel it
+        double limit = fleet.start; // own dispatches at once
+        double usual = -1; // strain when little waits; quick to fall, slow to rise
         int most;
         double barredUntil;
         int unreached;
@@ -332,13 +309,9 @@
         double meanStrain = 0.2;
         double tokens, tokensAt, born;
 
-        Node(Srv srv) {
-            this.srv = srv;
-        }
+        Node(Srv srv) { this.srv = srv; }
 
-        boolean cold() {
-            return srv.born > 0 && now - srv.born < fleet.rules.coldTime;
-        }
+        boolean cold() { return srv.born > 0 && now - srv.born < fleet.rules.coldTime; }
 
         /**
          * Guards a cold server: this gateway's share of what it surely can do, inferred from what warm ones
@@ -365,7 +338,7 @@
     /** Ranking and health. */
     private final class Fleet {
         final Rules rules;
-        final int gateways;
+        final double start; // a first limit: eight out at a server, over all gateways
         final List<Node> nodes = new ArrayList<>();
         final List<Node> ranked = new ArrayList<>();
         double warmRate;
@@ -374,14 +347,12 @@
 
         Fleet(Rules rules, int gateways) {
             this.rules = rules;
-            this.gateways = gateways;
+            this.start = Math.max(1, 8.0 / gateways);
         }
 
         void list(List<Srv> entries, boolean whole) {
             if (whole) {
-                for (Node n : nodes) {
-                    if (!entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED;
-                }
+                for (Node n : nodes) { if (!entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED; }
             }
             for (Srv s : entries) {
                 if (s.notes == null) {
@@ -394,14 +365,10 @@
             rank();
         }
 
-        double typical(Frontend f) {
-            return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target;
-        }
+        double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target; }
 
         boolean room() {
-            for (Node n : ranked) {
-                if (n.running.size() < n.limit) return true;
-            }
+            for (Node n : ranked) { if (n.running.size() < n.limit) return true; }
             return false;
         }
 
@@ -410,9 +377,7 @@
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
                     if (n.running.size() < Math.ceil(n.limit * pass / 3) && now >= n.barredUntil
-                            && (!n.sick || n.running.isEmpty()) && allowed(job, n)) {
-                        return n;
-                    }
+                            && (!n.sick || n.running.isEmpty()) && allowed(job, n)) { return n; }
                 }
             }
             return null;
@@ -497,9 +462,12 @@
                 }
             }
             n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
-            if (n.meanStrain > 0.45) {
-                n.limit = Math.max(1, n.limit * 0.93);
-            } else if (n.meanStrain < 0.35 && n.most >= 0.7 * n.limit) {
+            if (n.usual < 0) n.usual = n.meanStrain;
+            n.usual += (n.meanStrain - n.usual) * (n.meanStrain < n.usual ? 0.05 : 0.004);
+            double goal = Math.min(0.4, 1.5 * n.usual); // what waits at a server only makes it slower
+            if (n.meanStrain > goal) {
+                n.limit = Math.max(1, n.limit * Math.max(0.8, goal / n.meanStrain) + 0.1);
+            } else if (n.most >= 0.7 * n.limit) {
                 n.limit = Math.min(200, n.limit + 0.3);
             }
             n.most = n.running.size();
@@ -632,9 +600,7 @@
             return plan.ceilingRate <= 0 ? 0 : (units + lined - ceiling) / (plan.ceilingRate * slice);
         }
 
-        void draw(double units) {
-            if (plan.ceilingRate > 0) ceiling -= units;
-        }
+        void draw(double units) { if (plan.ceilingRate > 0) ceiling -= units; }
     }
 
     private static final double BURSTS_A_WINDOW = 4; // a burst may go beyond at each edge: few edges
@@ -651,9 +617,7 @@
         int unanswered;
         double askedAt = Double.NEGATIVE_INFINITY;
 
-        Quotas(CounterTerms terms) {
-            this.terms = terms;
-        }
+        Quotas(CounterTerms terms) { this.terms = terms; }
 
         Book book(Customer c) {
             if (c.notes == null) c.notes = new Book(c);
@@ -775,9 +739,7 @@
             w.readAt = now;
         }
 
-        private void judgeLater(Book b) {
-            while (!b.judgedLater.isEmpty()) judge(b.judgedLater.poll());
-        }
+        private void judgeLater(Book b) { while (!b.judgedLater.isEmpty()) judge(b.judgedLater.poll()); }
 
         private void judge(Job job) {
             Book b = job.book;
