--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -464,11 +464,11 @@
             n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
             if (n.usual < 0) n.usual = n.meanStrain;
             n.usual += (n.meanStrain - n.usual) * (n.meanStrain < n.usual ? 0.05 : 0.004);
-            double goal = Math.min(0.4, 1.5 * n.usual); // what waits at a server only makes it slower
-            if (n.meanStrain > goal) {
-                n.limit = Math.max(1, n.limit * Math.max(0.8, goal / n.meanStrain) + 0.1);
-            } else if (n.most >= 0.7 * n.limit) {
-                n.limit = Math.min(200, n.limit + 0.3);
+            // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
+            if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
+                n.limit = Math.max(1, n.limit * 0.9);
+            } else if (n.meanStrain < 1.2 * n.usual && n.most >= 0.7 * n.limit) {
+                n.limit = Math.min(200, n.limit * 1.03 + 0.05);
             }
             n.most = n.running.size();
         }
