--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -603,7 +603,7 @@
         void draw(double units) { if (plan.ceilingRate > 0) ceiling -= units; }
     }
 
-    private static final double BURSTS_A_WINDOW = 4; // a burst may go beyond at each edge: few edges
+    private static final double BURSTS_A_WINDOW = 6; // a burst may go beyond at each edge: few edges
     private static final double MAX_WINDOW = 29_000; // two fit the counter's memory of a minute
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
     private static final double ASK_SILENT_MS = 100; // one call this often finds the end of a silence
