--- /dev/null
+++ b/src/test/java/tinford/DecideTest.java
@@ -0,0 +1,267 @@
+package tinford;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import tinford.api.*;
+
+public class DecideTest {
+    private static final Plan HARD = Bed.plan(0, 1, 0, 0);
+    private static final Plan SOFT = Bed.plan(0.2, 0, 0, 0);
+    private static final Frontend READ = Bed.frontend(Effect.REPLAYABLE, Group.ALL);
+
+    /** At 100 s a window of 30 s (six bursts of 10 units at 2 a second; 29 s at most) is 13 s old. */
+    @DataProvider
+    Object[][] estimates() {
+        return new Object[][] {
+            // total before, total now, units, passes
+            {0, 1, 1, true},
+            {0, 36, 1, true},
+            {0, 37, 1, false}, // burst + rate x time
+            {0, 11, 11, false}, // a first read opens one burst at most, however old the window
+            {58, 5, 1, true},
+            {120, 2, 1, false}, // the window before still overlaps by half
+        };
+    }
+
+    @Test(dataProvider = "estimates")
+    public void theEstimateDecides(double before, double total, double units, boolean passes) {
+        Bed bed = new Bed();
+        Req req = bed.req(Bed.customer(HARD), READ, units);
+        List<String> said = bed.ask(req, before, total);
+        assertEquals(Bed.count(said, passes ? "dispatch" : "deny"), 1, said.toString());
+        assertEquals(Bed.count(said, "add"), passes ? 0 : 1, "a denial takes its units back");
+    }
+
+    @Test
+    public void aCalmStretchSavesUpOneBurst() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(HARD);
+        Req first = bed.req(c, READ, 1);
+        bed.ask(first, 0, 1);
+        bed.ends(first, 0, End.GOOD, true);
+        bed.pass(9000);
+        int passed = 0;
+        for (int i = 0; i < 20; i++) {
+            Req req = bed.req(c, READ, 1);
+            if (Bed.count(bed.ask(req, 0, 2 + passed), "dispatch") == 0) continue;
+            bed.ends(req, 0, End.GOOD, true);
+            passed++;
+        }
+        assertEquals(passed, 10);
+    }
+
+    @DataProvider
+    Object[][] postures() {
+        return new Object[][] {
+            // plan, end of the call, reqs of one unit passed out of 20; the slice of a hard plan holds 5
+            {SOFT, End.TIMED_OUT, 20}, {HARD, End.TIMED_OUT, 5}, {HARD, End.UNREACHABLE, 5}, {HARD, End.FULL, 5},
+        };
+    }
+
+    @Test(dataProvider = "postures")
+    public void silenceIsAnsweredByThePosture(Plan plan, End how, int passes) {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(plan);
+        int passed = 0;
+        for (int i = 0; i < 20; i++) {
+            Req req = bed.req(c, READ, 1);
+            List<String> said = new ArrayList<>(bed.play(in -> in.arrived(req)));
+            said.addAll(bed.counterEnds(how));
+            passed += Bed.count(said, "dispatch");
+            if (Bed.count(said, "dispatch") > 0) bed.ends(req, 0, End.GOOD, true);
+        }
+        assertEquals(passed, passes);
+    }
+
+    @Test
+    public void everyReqHasOneAnswerThoughTheCounterNeverSpeaks() {
+        Bed bed = new Bed();
+        Req req = bed.req(Bed.customer(HARD), READ, 1);
+        bed.play(in -> in.arrived(req));
+        assertEquals(Bed.count(bed.pass(500), "dispatch"), 1);
+        Req late = new Req(99, READ, Bed.customer(HARD), bed.now + 20, 1, false);
+        assertEquals(Bed.count(bed.play(in -> in.arrived(late)), "deny"), 1, "its client leaves before an answer");
+    }
+
+    @Test
+    public void aClientThatLeavesWhileTheCounterIsAskedGetsItsUnitsBack() {
+        Bed bed = new Bed();
+        Req req = bed.req(Bed.customer(HARD), READ, 3);
+        List<String> asked = new ArrayList<>(bed.play(in -> in.arrived(req)));
+        bed.play(in -> in.left(req));
+        List<String> said = bed.play(in -> {
+            for (String s : asked) {
+                if (s.startsWith("add ")) in.counted(Long.parseLong(s.split(" ")[1]), End.GOOD, 1, 3);
+            }
+        });
+        assertTrue(said.stream().anyMatch(s -> s.startsWith("add ") && s.endsWith(" -3.0")), said.toString());
+        assertEquals(Bed.count(said, "dispatch"), 0);
+    }
+
+    @Test
+    public void aFlushedCounterHandsOutNoFreshWindow() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(HARD);
+        for (int i = 0; i < 5; i++) bed.ask(bed.req(c, READ, 2), 0, 2 * i + 2);
+        bed.pass(600);
+        assertEquals(Bed.count(bed.ask(bed.req(c, READ, 3), 0, 3), "deny"), 1);
+    }
+
+    @DataProvider
+    Object[][] repeats() {
+        Frontend once = Bed.frontend(Effect.NON_REPLAYABLE, Group.ALL);
+        Frontend cell = Bed.frontend(Effect.UNIQUED, Group.CELL);
+        Frontend zone = Bed.frontend(Effect.UNIQUED, Group.ZONE);
+        Frontend all = Bed.frontend(Effect.UNIQUED, Group.ALL);
+        return new Object[][] {
+            // frontend, end of the first dispatch, what must come (at once or in the end)
+            {READ, End.UNREACHABLE, "dispatch"}, {READ, End.BROKEN, "deny"}, {READ, End.TIMED_OUT, "deny"},
+            {once, End.FULL, "dispatch"}, {once, End.BROKEN, "abort"}, {once, End.ERROR, "abort"},
+            {cell, End.UNREACHABLE, "dispatch"}, {cell, End.BROKEN, "abort"}, {zone, End.ERROR, "abort"},
+            {all, End.BROKEN, "deny"},
+        };
+    }
+
+    @Test(dataProvider = "repeats")
+    public void repeatsAndAnswersKeepToTheEffect(Frontend f, End how, String then) {
+        Bed bed = new Bed();
+        Req req = bed.req(Bed.customer(HARD), f, 1);
+        bed.ask(req, 0, 1);
+        List<String> said = bed.ends(req, 0, how, false);
+        assertEquals(Bed.count(said, then), 1, said.toString());
+        assertEquals(said.stream().filter(s -> s.matches("(dispatch|deny|abort).*")).count(), 1);
+    }
+
+    /** With the budget full a dispatch that may have run goes on only inside the group, and only for its window. */
+    @Test
+    public void aUniquedReqStaysInItsGroup() {
+        Bed bed = new Bed();
+        bed.list("s1a", "s1b", "s2");
+        Frontend cell = Bed.frontend(Effect.UNIQUED, Group.CELL);
+        Customer c = Bed.customer(Bed.plan(0, 1, 0, 0));
+        int again = 0;
+        for (int i = 0; i < 40; i++) {
+            Req req = bed.req(c, cell, 0.1);
+            String first = bed.ask(req, 0, 0.1 * i).stream().filter(s -> s.startsWith("dispatch")).findFirst().get();
+            List<String> said = new ArrayList<>(bed.ends(req, 0, i < 20 ? End.GOOD : End.BROKEN, i < 20));
+            for (String s : said) {
+                if (!s.startsWith("dispatch")) continue;
+                again++;
+                assertEquals(bed.srv(s.split(" ")[2]).cell, bed.srv(first.split(" ")[2]).cell);
+                bed.ends(req, 1, End.GOOD, true);
+            }
+            bed.pass(200);
+        }
+        assertTrue(again > 0);
+    }
+
+    @DataProvider
+    Object[][] states() {
+        return new Object[][] {{Srv.State.DRAINING, true}, {Srv.State.REMOVED, true}, {Srv.State.UP, false}};
+    }
+
+    @Test(dataProvider = "states")
+    public void nothingNewGoesToAServerThatLeaves(Srv.State state, boolean listed) {
+        Bed bed = new Bed();
+        bed.list("s1", "s2");
+        bed.srv("s2").state = state;
+        List<Srv> entries = listed ? List.of(bed.srv("s1"), bed.srv("s2")) : List.of(bed.srv("s1"));
+        bed.play(in -> in.listed(entries, true));
+        for (int i = 1; i <= 10; i++) {
+            for (String s : bed.ask(bed.req(Bed.customer(HARD), READ, 1), 0, 1)) {
+                assertTrue(!s.endsWith(" s2"), s);
+            }
+        }
+    }
+
+    @Test
+    public void aColdServerGetsOnlyItsShare() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(Bed.plan(1, 0, 0, 0));
+        List<Req> out = new ArrayList<>();
+        long cold = 0;
+        long warm = 0;
+        for (int i = 0; i < 200; i++) {
+            if (i == 100) {
+                bed.srv("cold").born = bed.now;
+                bed.list("s1", "s2", "s3", "cold");
+            }
+            Req req = bed.req(c, READ, 0.1);
+            List<String> said = new ArrayList<>(bed.ask(req, 0, 0.1));
+            if (i >= 100) {
+                cold += said.stream().filter(s -> s.endsWith(" cold")).count();
+                warm += said.stream().filter(s -> s.startsWith("dispatch") && !s.endsWith(" cold")).count();
+            }
+            if (Bed.count(said, "dispatch") > 0) out.add(req);
+            if (out.size() > 8) bed.ends(out.remove(0), 0, End.GOOD, true);
+            bed.pass(50);
+        }
+        assertTrue(cold > 0 && cold < 0.6 * warm / 3, cold + " against " + warm);
+    }
+
+    @Test
+    public void theCeilingHoldsWithoutTheCounterAndARestartRefillsNothing() {
+        Bed bed = new Bed(Bed.limits(false), false, false);
+        bed.list("s1", "s2", "s3");
+        Customer c = Bed.customer(Bed.plan(0.2, 0, 0, 4));
+        long passed = 0;
+        for (int i = 0; i < 100; i++) {
+            Req req = bed.req(c, READ, 1);
+            List<String> said = new ArrayList<>(bed.play(in -> in.arrived(req)));
+            said.addAll(bed.pass(50));
+            for (String s : said) {
+                if (!s.startsWith("dispatch")) continue;
+                passed++;
+            }
+        }
+        assertTrue(passed > 0 && passed <= 10, "slice of 2 units a second, from empty, in 5 s: " + passed);
+    }
+
+    @Test
+    public void theCapOnOpenReqsHolds() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(Bed.plan(0, 1, 2, 0));
+        long passed = 0;
+        for (int i = 1; i <= 6; i++) passed += Bed.count(bed.ask(bed.req(c, READ, 1), 0, i), "dispatch");
+        assertTrue(passed >= 1 && passed <= 2, "" + passed);
+    }
+
+    @Test
+    public void allSlowIsNobodysFault() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(Bed.plan(1, 0, 0, 0));
+        long passed = 0;
+        for (int i = 0; i < 40; i++) {
+            Req req = bed.req(c, READ, 0.1);
+            if (Bed.count(bed.ask(req, 0, 0.1), "dispatch") > 0) {
+                passed++;
+                bed.play(in -> in.ended(req, 0, End.GOOD, 2500, true, 0, 0, null));
+            }
+            bed.pass(100);
+        }
+        assertEquals(passed, 40);
+    }
+
+    @Test
+    public void trueUnitsAreSettledOnce() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(HARD);
+        Req req = bed.req(c, READ, 2);
+        bed.ask(req, 0, 2);
+        bed.play(in -> in.ended(req, 0, End.GOOD, 100, true, 0, 5, null));
+        assertTrue(bed.play(in -> in.arrived(bed.req(c, READ, 1))).stream().anyMatch(s -> s.endsWith(" 4.0")));
+        assertTrue(bed.play(in -> in.arrived(bed.req(c, READ, 1))).stream().anyMatch(s -> s.endsWith(" 1.0")));
+    }
+
+    @Test
+    public void aBrokenSubscriptionIsAskedForAgain() {
+        Bed bed = new Bed(Bed.limits(false), true, true);
+        assertEquals(Bed.count(bed.said, "watch true"), 1);
+        assertEquals(Bed.count(bed.play(Inbox::listRefused), "watch true"), 1);
+    }
+}
