--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -42,11 +42,9 @@
     private final TreeSet<Job> line = new TreeSet<>(
             Comparator.comparingDouble((Job j) -> -j.worth).thenComparingLong(j -> j.seq));
     private final Ring finished = new Ring();
-    private double spare;
+    private long arrivals, ticks;
+    private double now, spare;
     private double meanWorth = 1;
-    private long seq;
-    private int ticks;
-    private double now;
     private Writer out;
 
     public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, boolean mustAsk) {
@@ -58,28 +56,23 @@
         this.quotas = new Quotas(counter);
     }
 
-    @Override
-    public void round(double at, Feed feed, Writer writer) {
+    @Override public void round(double at, Feed feed, Writer writer) {
         now = at;
         out = writer;
         feed.replay(this);
         drainLine();
     }
 
-    @Override
-    public void started() {
+    @Override public void started() {
         if (mustAsk) out.watch(true);
         out.alarm(TICK, TICK_MS);
     }
 
-    @Override
-    public void listRefused() { if (mustAsk) out.watch(true); }
+    @Override public void listRefused() { if (mustAsk) out.watch(true); }
 
-    @Override
-    public void listed(List<Srv> entries, boolean whole) { fleet.list(entries, whole); }
+    @Override public void listed(List<Srv> entries, boolean whole) { fleet.list(entries, whole); }
 
-    @Override
-    public void alarm(long token) {
+    @Override public void alarm(long token) {
         if (token != TICK) return;
         out.alarm(TICK, TICK_MS);
         quotas.hurry();
@@ -87,10 +80,8 @@
         for (Job job : new ArrayList<>(line)) { if (now >= job.reachBy) finish(job, 0); }
     }
 
-    @Override
-    public void arrived(Req req) {
-        Book book = quotas.book(req.customer);
-        Job job = new Job(req, book, seq++, now);
+    @Override public void arrived(Req req) {
+        Job job = new Job(req);
         req.notes = job;
         meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
         if (now >= job.reachBy) {
@@ -100,31 +91,21 @@
         }
     }
 
-    @Override
-    public void began(Req req, int hop) { ((Job) req.notes).begun = true; }
+    @Override public void began(Req req, int hop) { ((Job) req.notes).begun = true; }
 
-    @Override
-    public void left(Req req) {
-        Job job = (Job) req.notes;
-        over(job);
-    }
+    @Override public void left(Req req) { over((Job) req.notes); }
 
-    @Override
-    public void probed(Srv srv, End how, double took, double[] load) {
-        // no probes are sent: what they cost buys nothing that answers do not tell
-    }
+    // no probes are sent and peers are told nothing: answers and the counter tell enough for less
+    @Override public void probed(Srv srv, End how, double took, double[] load) { }
 
-    @Override
-    public void heard(int peer, String text) {
-        // peers serve exceptions only, and none needs them yet
-    }
+    @Override public void heard(int peer, String text) { }
 
-    @Override
-    public void counted(long name, End how, double took, double total) { quotas.answer(name, how, total); }
+    @Override public void counted(long name, End how, double took, double total) {
+        quotas.answer(name, how, total);
+    }
 
-    @Override
-    public void ended(Req req, int no, End how, double took, boolean closed, int seenUse, double settled,
-            double[] load) {
+    @Override public void ended(Req req, int no, End how, double took, boolean closed, int seenUse,
+            double settled, double[] load) {
         Job job = (Job) req.notes;
         Hop hop = job.hops.get(no);
         hop.end = how;
@@ -134,11 +115,8 @@
             finished.add(now, 1);
             if (settled > 0) quotas.settle(job, settled);
         }
-        if (closed) {
-            over(job);
-        } else if (!job.over && !job.running()) {
-            again(job, how);
-        }
+        if (closed) over(job);
+        else if (!job.over && !job.running()) again(job, how);
     }
 
     // ---- reqs
@@ -146,39 +124,31 @@
     private final class Job {
         final Req req;
         final Book book;
-        final long seq;
+        final long seq = arrivals++;
+        final double askedAt = now;
         final double targetAt;
-        double reachBy, worth;
-        final double askedAt;
         final List<Hop> hops = new ArrayList<>(1);
+        double reachBy, worth;
         Win countedIn;
         double total;
         boolean begun, over;
 
-        Job(Req req, Book book, long seq, double at) {
+        Job(Req req) {
             this.req = req;
-            this.book = book;
-            this.seq = seq;
-            this.askedAt = at;
+            this.book = quotas.book(req.customer);
             this.worth = req.frontend.value * book.plan.price; // a unit, as units stand for work too
-            this.targetAt = at + req.frontend.target;
+            this.targetAt = now + req.frontend.target;
             reach();
         }
 
-        /** Later than this a dispatch would not be answered in time, neither for the target nor the client. */
+        /** Later than this a dispatch would be late, for the target or for the client. */
         void reach() {
             reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req.frontend);
         }
 
-        boolean running() {
-            for (Hop h : hops) { if (h.end == null) return true; }
-            return false;
-        }
+        boolean running() { return hops.stream().anyMatch(h -> h.end == null); }
 
-        boolean mayHaveRun() {
-            for (Hop h : hops) { if (h.end == null || h.end.mayHaveRun) return true; }
-            return false;
-        }
+        boolean mayHaveRun() { return hops.stream().anyMatch(h -> h.end == null || h.end.mayHaveRun); }
     }
 
     private static final class Hop {
@@ -220,11 +190,8 @@
     private void drainLine() {
         if (line.isEmpty()) return;
         for (Job job : new ArrayList<>(line)) {
-            if (send(job, fleet.pick(job))) {
-                unline(job);
-            } else if (!fleet.room()) {
-                return;
-            }
+            if (send(job, fleet.pick(job))) unline(job);
+            else if (!fleet.room()) return;
         }
     }
 
@@ -249,11 +216,8 @@
         Effect effect = job.req.frontend.effect;
         boolean harmless = effect == Effect.REPLAYABLE || !job.mayHaveRun()
                 || effect == Effect.UNIQUED && job.req.frontend.group == Group.ALL;
-        if (harmless) {
-            out.deny(job.req, Math.max(wait, 2 * TICK_MS));
-        } else {
-            out.abort(job.req);
-        }
+        if (harmless) out.deny(job.req, Math.max(wait, 2 * TICK_MS));
+        else out.abort(job.req);
     }
 
     // ---- guard
@@ -266,8 +230,9 @@
         for (Hop h : job.hops) {
             if (h.end == null && !limits.mayDuplicate) return false;
             if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.REPLAYABLE) continue;
-            boolean drops = f.group == Group.ALL || f.group == Group.ZONE && h.node.srv.zone.equals(node.srv.zone)
-                    || f.group == Group.CELL && h.node.srv.cell == node.srv.cell;
+            Srv was = h.node.srv;
+            boolean drops = f.group == Group.ALL || f.group == Group.ZONE && was.zone.equals(node.srv.zone)
+                    || f.group == Group.CELL && was.cell == node.srv.cell;
             if (f.effect == Effect.NON_REPLAYABLE || !drops || now - h.at >= f.repeatWindow - place.tick) {
                 return false;
             }
@@ -294,20 +259,14 @@
 
     private final class Node {
         final Srv srv;
-        final Ring sent = new Ring();
-        final Ring answers = new Ring();
-        final Ring late = new Ring();
-        final Ring strain = new Ring();
+        final Ring sent = new Ring(), answers = new Ring(), late = new Ring(), strain = new Ring();
         final List<Hop> running = new ArrayList<>();
         double limit = fleet.start; // own dispatches at once
         double usual = -1; // strain when little waits; quick to fall, slow to rise
-        int most;
-        double barredUntil;
-        int unreached;
+        int most, unreached;
         boolean sick;
-        double order;
+        double barredUntil, order, tokens, tokensAt, born;
         double meanStrain = 0.2;
-        double tokens, tokensAt, born;
 
         Node(Srv srv) { this.srv = srv; }
 
@@ -339,11 +298,8 @@
     private final class Fleet {
         final Rules rules;
         final double start; // a first limit: eight out at a server, over all gateways
-        final List<Node> nodes = new ArrayList<>();
-        final List<Node> ranked = new ArrayList<>();
-        double warmRate;
-        double medianStrain = 0.2;
-        double meanUnits = 1;
+        final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
+        double warmRate, medianStrain = 0.2, meanUnits = 1;
 
         Fleet(Rules rules, int gateways) {
             this.rules = rules;
@@ -355,22 +311,16 @@
                 for (Node n : nodes) { if (!entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED; }
             }
             for (Srv s : entries) {
-                if (s.notes == null) {
-                    Node n = new Node(s);
-                    n.order = chance.nextDouble();
-                    s.notes = n;
-                    nodes.add(n);
-                }
+                if (s.notes != null) continue;
+                s.notes = new Node(s);
+                nodes.add((Node) s.notes);
             }
             rank();
         }
 
         double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target; }
 
-        boolean room() {
-            for (Node n : ranked) { if (n.running.size() < n.limit) return true; }
-            return false;
-        }
+        boolean room() { return ranked.stream().anyMatch(n -> n.running.size() < n.limit); }
 
         /** From the top of the order, in three passes that each open a further third of the limits. */
         Node pick(Job job) {
@@ -396,12 +346,10 @@
         void learn(Hop hop, End how, double took) {
             Node n = hop.node;
             n.running.remove(hop);
+            if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
-                case GOOD -> {
-                    n.unreached = 0;
-                    answer(n, part, part > 1 && !hop.late);
-                }
+                case GOOD -> answer(n, part, part > 1 && !hop.late);
                 case TIMED_OUT -> answer(n, Math.max(1, part), !hop.late);
                 case ERROR, BROKEN -> answer(n, n.meanStrain, true);
                 case FULL -> {
@@ -430,10 +378,9 @@
                 if (n.srv.state != Srv.State.UP) continue;
                 ranked.add(n);
                 measure(n);
-                if (!n.cold()) {
-                    warm++;
-                    warmSent += n.sent.total(now);
-                }
+                if (n.cold()) continue;
+                warm++;
+                warmSent += n.sent.total(now);
             }
             warmRate = warm == 0 ? 0 : warmSent / warm / Ring.SPAN;
             double usual = median(n -> share(n));
@@ -452,14 +399,12 @@
             // what is still out tells of a stalled server before its answers do
             for (Hop h : n.running) {
                 double part = (now - h.at) / h.job.req.frontend.target;
-                if (part > n.meanStrain) {
-                    seen++;
-                    sum += Math.min(part, 2);
-                }
-                if (part > 1 && !h.late) {
-                    h.late = true;
-                    n.late.add(now, 1);
-                }
+                if (part <= n.meanStrain) continue;
+                seen++;
+                sum += Math.min(part, 2);
+                if (part <= 1 || h.late) continue;
+                h.late = true;
+                n.late.add(now, 1);
             }
             n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
             if (n.usual < 0) n.usual = n.meanStrain;
@@ -502,20 +447,13 @@
         }
     }
 
+    /** A call to the counter; owed is what part of the amount is of earlier reqs. */
     private static final class Call {
-        final Book book;
-        final Win win;
-        final Job job;
-        final double amount, owed;
+        Book book;
+        Win win;
+        Job job;
+        double amount, owed;
         boolean decided, passed;
-
-        Call(Book book, Win win, Job job, double amount, double owed) {
-            this.book = book;
-            this.win = win;
-            this.job = job;
-            this.amount = amount;
-            this.owed = owed;
-        }
     }
 
     /** A customer's quota as this gateway knows it. */
@@ -524,12 +462,10 @@
         final Plan plan;
         final double slice, window;
         final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
-        Win cur;
-        Win prev;
+        Win cur, prev;
         double owed; // used, and not yet on the counter
-        double local, localAt, ceiling, ceilingAt, lined;
-        double room; // how far the current total may rise now, as reads so far tell
-        double roomAt;
+        double local, localAt = now, ceiling, ceilingAt = now, lined;
+        double room, roomAt; // how far the current total may rise, as reads so far tell
         int out;
 
         Book(Customer customer) {
@@ -539,26 +475,22 @@
             this.window = plan.rate <= 0 ? MAX_WINDOW
                     : Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate);
             this.local = plan.burst * slice;
-            this.localAt = now;
-            this.ceilingAt = now;
         }
 
         void roll() {
             long index = (long) Math.floor(now / window);
-            if (cur == null || cur.index != index) {
-                boolean next = cur != null && cur.index == index - 1;
-                prev = next ? cur : new Win(index - 1, (index - 1) * window);
-                cur = new Win(index, index * window);
-                if (!next) {
-                    room = plan.burst;
-                    roomAt = cur.start;
-                }
-            }
+            if (cur != null && cur.index == index) return;
+            boolean next = cur != null && cur.index == index - 1;
+            prev = next ? cur : new Win(index - 1, (index - 1) * window);
+            cur = new Win(index, index * window);
+            if (next) return;
+            room = plan.burst;
+            roomAt = cur.start;
         }
 
         /**
-         * Guards against time saved up: a calm stretch, or a first req late in a window, would let rate x time
-         * through at once. So the bound within the window is taken from each earlier read as well.
+         * Guards against time saved up: a calm stretch, or a first req late in a window, would let rate x
+         * time through at once. So the bound within the window is taken from each earlier read as well.
          */
         double room(double risen) {
             room = Math.min(plan.burst, room + (now - roomAt) * plan.rate - risen);
@@ -568,20 +500,21 @@
 
         boolean fits(double total) {
             double into = Math.min(window, now - cur.start);
-            return room(0) >= total - cur.total - 1e-6 && prev.total * (1 - into / window) + total <= plan.rate * window + plan.burst
-                    && total <= plan.burst + plan.rate * into;
+            return prev.total * (1 - into / window) + total <= plan.rate * window + plan.burst
+                    && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
 
         /** How long until these units will fit, if nobody else asks. */
         double fitsIn(double units) {
             double total = cur.total + units;
             double limit = plan.rate * window + plan.burst;
-            double at = Math.max((total - plan.burst) / plan.rate, now - cur.start + (units - room(0)) / plan.rate);
+            double into = now - cur.start;
+            double at = Math.max((total - plan.burst) / plan.rate, into + (units - room(0)) / plan.rate);
             if (prev.total > 0) at = Math.max(at, window * (1 - (limit - total) / prev.total));
-            if (at > window) {
-                at = window + (cur.total > 0 ? Math.max(0, window * (1 - (limit - units) / cur.total)) : 0);
+            if (at > window && cur.total > 0) {
+                at = window + Math.max(0, window * (1 - (limit - units) / cur.total));
             }
-            return Math.max(1, at - (now - cur.start));
+            return Math.max(1, at - into);
         }
 
         boolean takeLocal(double units) {
@@ -593,8 +526,8 @@
         }
 
         private void fill() {
-            double full = plan.ceilingBurst * slice;
-            ceiling = Math.min(full, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
+            double fresh = (now - ceilingAt) * plan.ceilingRate * slice;
+            ceiling = Math.min(plan.ceilingBurst * slice, ceiling + fresh);
             ceilingAt = now;
         }
 
@@ -643,12 +576,8 @@
 
         void ask(Job job) {
             Book b = job.book;
-            if (b.plan.rate <= 0) {
-                admit(job);
-                return;
-            }
             b.roll();
-            if (!terms.present) {
+            if (b.plan.rate <= 0 || !terms.present) {
                 posture(job);
                 return;
             }
@@ -679,7 +608,12 @@
         private Call call(Book b, Win win, Job job, double units) {
             double owed = win == b.cur ? b.owed : 0;
             if (win == b.cur) b.owed = 0;
-            Call call = new Call(b, win, job, units + owed, owed);
+            Call call = new Call();
+            call.book = b;
+            call.win = win;
+            call.job = job;
+            call.owed = owed;
+            call.amount = units + owed;
             long name = (b.customer.id << 30) + (win.index & (1 << 30) - 1);
             calls.computeIfAbsent(name, n -> new ArrayDeque<>(2)).add(call);
             out.add(name, call.amount, 2 * b.window + 1000);
@@ -699,10 +633,9 @@
         }
 
         private void settleSilence(Call call) {
-            if (!call.decided) {
-                call.decided = true;
-                call.passed = !call.job.over && posture(call.job);
-            }
+            if (call.decided) return;
+            call.decided = true;
+            call.passed = !call.job.over && posture(call.job);
         }
 
         void answer(long name, End how, double total) {
@@ -713,13 +646,10 @@
             Book b = call.book;
             if (how != End.GOOD) {
                 unanswered++;
-                if (how != End.TIMED_OUT) {
-                    b.owed += call.owed; // surely not added
-                }
-                if (call.job != null) {
-                    settleSilence(call);
-                    if (how != End.TIMED_OUT && call.passed) b.owed += call.amount - call.owed;
-                } else if (call.amount == 0) {
+                if (call.job != null) settleSilence(call);
+                // surely not added: what is owed, passed or to be taken back rides on the next call
+                if (how != End.TIMED_OUT) b.owed += call.job == null || call.passed ? call.amount : call.owed;
+                if (call.amount == 0) {
                     call.win.asked = false;
                     judgeLater(b);
                 }
@@ -727,19 +657,19 @@
             }
             unanswered = 0;
             read(call, total);
-            if (call.job == null) {
+            Job job = call.job;
+            if (job == null) {
                 judgeLater(b);
-            } else if (call.decided) {
-                keepOrTakeBack(call, call.passed);
+                return;
+            }
+            job.countedIn = call.win;
+            job.total = call.win.total;
+            if (call.decided) {
+                if (!call.passed || job.over && job.hops.isEmpty()) takeBack(job);
             } else {
                 call.decided = true;
-                call.job.total = call.win.total;
-                call.job.countedIn = call.win;
-                if (call.win == b.cur && !b.prev.read && b.prev.asked) {
-                    b.judgedLater.add(call.job);
-                } else {
-                    judge(call.job);
-                }
+                if (call.win == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
+                else judge(job);
             }
         }
 
@@ -776,11 +706,6 @@
             }
         }
 
-        private void keepOrTakeBack(Call call, boolean keep) {
-            call.job.countedIn = call.win;
-            if (!keep || call.job.over && call.job.hops.isEmpty()) takeBack(call.job);
-        }
-
         private void takeBack(Job job) {
             job.countedIn.total -= job.req.units;
             job.book.room += job.req.units;
@@ -791,7 +716,7 @@
         /** When the counter says nothing: soft plans pass, others live on an even slice. */
         private boolean posture(Job job) {
             Plan p = job.book.plan;
-            boolean inside = job.book.takeLocal(job.req.units);
+            boolean inside = p.rate <= 0 || job.book.takeLocal(job.req.units);
             if (!inside && !(p.beyondValue > 0 && p.beyondCost <= 0)) {
                 finish(job, (job.req.units - job.book.local) / (p.rate * job.book.slice));
                 return false;
