--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -263,7 +263,7 @@
         final List<Hop> running = new ArrayList<>();
         double limit = fleet.start; // own dispatches at once
         double usual = -1; // strain when little waits; quick to fall, slow to rise
-        int most, unreached;
+        int most, unreached, slots = 1;
         boolean sick;
         double barredUntil, order, tokens, tokensAt, born;
         double meanStrain = 0.2;
@@ -320,13 +320,13 @@
 
         double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target; }
 
-        boolean room() { return ranked.stream().anyMatch(n -> n.running.size() < n.limit); }
+        boolean room() { return ranked.stream().anyMatch(n -> n.running.size() < n.slots); }
 
         /** From the top of the order, in three passes that each open a further third of the limits. */
         Node pick(Job job) {
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
-                    if (n.running.size() < Math.ceil(n.limit * pass / 3) && now >= n.barredUntil
+                    if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && now >= n.barredUntil
                             && (!n.sick || n.running.isEmpty()) && allowed(job, n)) { return n; }
                 }
             }
@@ -411,11 +411,13 @@
             n.usual += (n.meanStrain - n.usual) * (n.meanStrain < n.usual ? 0.05 : 0.004);
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
-                n.limit = Math.max(1, n.limit * 0.9);
+                n.limit = Math.max(0.2, n.limit * 0.9);
             } else if (n.meanStrain < 1.2 * n.usual && n.most >= 0.7 * n.limit) {
                 n.limit = Math.min(200, n.limit * 1.03 + 0.05);
             }
             n.most = n.running.size();
+            // parts of a slot are drawn, so that many gateways together stay under what few cores can do
+            n.slots = (int) (n.limit + chance.nextDouble());
         }
 
         private double share(Node n) {
