Spare a failing counter all calls but the adds of reqs

While over 1 in 20 calls fail: denials' units ride on the customer's next call, the window before is not read, and a quota known to be empty is believed until it has room again. Also covers a slow counter. Harm: others see a denied req's units a little longer.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -566,11 +566,18 @@
         final CounterTerms terms;
         final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
         final ArrayDeque<Call> asking = new ArrayDeque<>();
+        final Ring answered = new Ring(), failed = new Ring();
         int unanswered;
         double askedAt = Double.NEGATIVE_INFINITY;
 
         Quotas(CounterTerms terms) { this.terms = terms; }
 
+        /**
+         * Guards against a counter with fewer calls to give than there are reqs, slow ones included: beside
+         * the adds of reqs every call is then saved, since calls that fail leave all reqs to the posture.
+         */
+        boolean scarce() { return failed.total(now) > 0.05 * answered.total(now); }
+
         Book book(Customer c) {
             if (c.notes == null) c.notes = new Book(c);
             return (Book) c.notes;
@@ -584,7 +591,7 @@
                 return;
             }
             double units = job.req.units;
-            if (b.cur.read && now - b.cur.readAt < TRUST_MS && !b.fits(b.cur.total + units)) {
+            if (b.cur.read && (now - b.cur.readAt < TRUST_MS || scarce()) && !b.fits(b.cur.total + units)) {
                 finish(job, b.fitsIn(units));
                 return;
             }
@@ -594,7 +601,7 @@
                 return;
             }
             askedAt = now;
-            if (!b.prev.read && !b.prev.asked) {
+            if (!b.prev.read && !b.prev.asked && !scarce()) {
                 b.prev.asked = true;
                 call(b, b.prev, null, 0);
             }
@@ -648,6 +655,7 @@
             Book b = call.book;
             if (how != End.GOOD) {
                 unanswered++;
+                failed.add(now, 1);
                 if (call.job != null) settleSilence(call);
                 // surely not added: what is owed, passed or to be taken back rides on the next call
                 if (how != End.TIMED_OUT) b.owed += call.job == null || call.passed ? call.amount : call.owed;
@@ -658,6 +666,7 @@
                 return;
             }
             unanswered = 0;
+            answered.add(now, 1);
             read(call, total);
             Job job = call.job;
             if (job == null) {
@@ -711,7 +720,8 @@
         private void takeBack(Job job) {
             job.countedIn.total -= job.req.units;
             job.book.room += job.req.units;
-            call(job.book, job.countedIn, null, -job.req.units);
+            if (!scarce()) call(job.book, job.countedIn, null, -job.req.units);
+            else if (job.countedIn == job.book.cur) job.book.owed -= job.req.units; // rides on the next call
             job.countedIn = null;
         }
 
