--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -188,7 +188,6 @@
     }
 
     private void drainLine() {
-        if (line.isEmpty()) return;
         for (Job job : new ArrayList<>(line)) {
             if (send(job, fleet.pick(job))) unline(job);
             else if (!fleet.room()) return;
@@ -202,12 +201,10 @@
     private void again(Job job, End how) {
         boolean free = !how.mayHaveRun;
         job.reach();
-        if (now >= job.reachBy || job.hops.size() >= limits.maxDispatches || !free && spare < 1) {
-            finish(job, 0);
-            return;
-        }
-        if (!free) spare--;
-        admit(job);
+        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches && (free || spare >= 1);
+        if (may && !free) spare--;
+        if (may) admit(job);
+        else finish(job, 0);
     }
 
     /** The one place of final answers: a denial where the rules let it promise that a retry is harmless. */
@@ -282,9 +279,9 @@
                 tokens = 0;
                 tokensAt = now;
             }
-            double age = Math.max(0, now - srv.born);
-            double part = fleet.rules.coldFrom + (1 - fleet.rules.coldFrom) * age / fleet.rules.coldTime;
-            double rate = COLD_MARGIN * fleet.rules.fallMultiple * part * fleet.warmRate;
+            Rules r = fleet.rules;
+            double part = r.coldFrom + (1 - r.coldFrom) * Math.max(0, now - srv.born) / r.coldTime;
+            double rate = COLD_MARGIN * r.fallMultiple * part * fleet.warmRate;
             tokens = Math.min(1, tokens + (now - tokensAt) * rate);
             tokensAt = now;
             return tokens;
@@ -352,14 +349,8 @@
                 case GOOD -> answer(n, part, part > 1 && !hop.late);
                 case TIMED_OUT -> answer(n, Math.max(1, part), !hop.late);
                 case ERROR, BROKEN -> answer(n, n.meanStrain, true);
-                case FULL -> {
-                    n.limit = Math.max(1, n.limit * 0.7);
-                    n.barredUntil = now + 2 * TICK_MS;
-                }
-                case UNREACHABLE -> {
-                    // down, or its table of connections full: asked again ever more rarely, up to 4 s
-                    n.barredUntil = now + 250 * (1 << Math.min(4, n.unreached++));
-                }
+                // full, down, or no connection left: asked again ever more rarely, up to 4 s
+                case FULL, UNREACHABLE -> n.barredUntil = now + 250 * (1 << Math.min(4, n.unreached++));
                 default -> { }
             }
         }
@@ -586,11 +577,11 @@
         void ask(Job job) {
             Book b = job.book;
             b.roll();
+            double units = job.req.units;
             if (b.plan.rate <= 0 || !terms.present) {
                 posture(job);
                 return;
             }
-            double units = job.req.units;
             if (b.cur.read && (now - b.cur.readAt < TRUST_MS || scarce()) && !b.fits(b.cur.total + units)) {
                 finish(job, b.fitsIn(units));
                 return;
@@ -669,13 +660,12 @@
             answered.add(now, 1);
             read(call, total);
             Job job = call.job;
-            if (job == null) {
-                judgeLater(b);
-                return;
+            if (job != null) {
+                job.countedIn = call.win;
+                job.total = call.win.total;
             }
-            job.countedIn = call.win;
-            job.total = call.win.total;
-            if (call.decided) {
+            if (job == null) judgeLater(b);
+            else if (call.decided) {
                 if (!call.passed || job.over && job.hops.isEmpty()) takeBack(job);
             } else {
                 call.decided = true;
