A server's usual answer time rises soon where hardly anything is out

With the threshold at one dispatch many gateways lost more (0.70, 0.46), so it goes by a part of the first limit.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -399,7 +399,8 @@
             }
             n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
             if (n.usual < 0) n.usual = n.meanStrain;
-            n.usual += (n.meanStrain - n.usual) * (n.meanStrain < n.usual ? 0.05 : 0.004);
+            // with a quarter of the first limit, what is slow is no queue: then the usual rises soon
+            n.usual += (n.meanStrain - n.usual) * (n.meanStrain < n.usual || n.limit <= start / 4 ? 0.05 : 0.004);
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
                 n.limit = Math.max(0.2, n.limit * 0.9);
