--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -528,7 +528,7 @@
         /** Ceiling and cap on open reqs, for a first dispatch. */
         boolean mayOpen(double units) {
             fill();
-            return (plan.ceilingRate <= 0 || ceiling >= units) && (plan.maxOut <= 0 || out < openSlice());
+            return (plan.ceilingRate <= 0 || ceiling >= units) && (plan.maxOut <= 0 || out + 0.5 < openSlice());
         }
 
         /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
