--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -1,14 +1,6 @@
 package tinford;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
-import java.util.TreeSet;
+import java.util.*;
 import tinford.api.*;
 
 /**
@@ -35,7 +27,9 @@
 
     private final Place place;
     private final Limits limits;
+    private final double worstPlan;
     private final boolean mustAsk;
+    private final Map<Plan, Tally> tallies = new LinkedHashMap<>();
     private final Random chance;
     private final Fleet fleet;
     private final Quotas quotas;
@@ -43,16 +37,17 @@
             Comparator.comparingDouble((Job j) -> -j.worth).thenComparingLong(j -> j.seq));
     private final Ring finished = new Ring();
     private long arrivals, ticks;
-    private double now, spare;
-    private double meanWorth = 1;
+    private double now, spare, meanWorth = 1;
     private Writer out;
 
-    public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, boolean mustAsk) {
+    public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, Goal goal,
+            boolean mustAsk) {
         this.place = place;
         this.limits = limits;
+        this.worstPlan = goal.worstPlan / Math.max(0.01, goal.whole);
         this.mustAsk = mustAsk;
         this.chance = new Random(seed);
-        this.fleet = new Fleet(rules, place.gateways);
+        this.fleet = new Fleet(rules);
         this.quotas = new Quotas(counter);
     }
 
@@ -84,11 +79,9 @@
         Job job = new Job(req);
         req.notes = job;
         meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
-        if (now >= job.reachBy) {
-            finish(job, 0); // a client about to give up must not be left to wait for the counter
-        } else {
-            quotas.ask(job);
-        }
+        // a client about to give up must not be left to wait for the counter
+        if (now >= job.reachBy) finish(job, 0);
+        else quotas.ask(job);
     }
 
     @Override public void began(Req req, int hop) { ((Job) req.notes).begun = true; }
@@ -119,8 +112,6 @@
         else if (!job.over && !job.running()) again(job, how);
     }
 
-    // ---- reqs
-
     private final class Job {
         final Req req;
         final Book book;
@@ -136,7 +127,7 @@
         Job(Req req) {
             this.req = req;
             this.book = quotas.book(req.customer);
-            this.worth = req.frontend.value * book.plan.price; // a unit, as units stand for work too
+            this.worth = req.frontend.value * book.plan.price * book.tally.lift; // for each unit
             this.targetAt = now + req.frontend.target;
             reach();
         }
@@ -165,8 +156,26 @@
         }
     }
 
+    /** What one plan lately asked inside its quotas, and what of it was sent on. */
+    private final class Tally {
+        final Ring asked = new Ring(), sent = new Ring();
+        double lift = 1;
+
+        double part() { return (sent.total(now) + 1e-9) / (asked.total(now) + 1e-9); }
+    }
+
+    /** Guards the cheapest plan against starving in the line: the worst served is lifted by its weight. */
+    private void lift() {
+        double all = tallies.values().stream().mapToDouble(t -> t.asked.total(now)).sum();
+        for (Tally t : tallies.values()) t.lift = 1;
+        tallies.values().stream().min(Comparator.comparingDouble(Tally::part)).ifPresent(t ->
+                t.lift += worstPlan * Math.min(20, all / (t.asked.total(now) + 1e-9)));
+    }
+
     /** A req within its quota goes to a server, into the line, or is denied when the line would be late. */
     private void admit(Job job) {
+        double value = job.worth * job.req.units;
+        if (job.hops.isEmpty()) job.book.tally.asked.add(now, value);
         if (send(job, fleet.pick(job))) return;
         double rate = finished.total(now) / Ring.SPAN;
         double wait = line.headSet(job).size() / Math.max(rate, 1 / job.req.frontend.target);
@@ -217,8 +226,6 @@
         else out.abort(job.req);
     }
 
-    // ---- guard
-
     /** Every rule on dispatches, asked by every dispatch. */
     private boolean allowed(Job job, Node node) {
         Frontend f = job.req.frontend;
@@ -242,6 +249,7 @@
         if (node == null || !allowed(job, node)) return false;
         if (job.hops.isEmpty()) {
             job.book.draw(job.req.units);
+            job.book.tally.sent.add(now, job.worth * job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
         }
         Hop hop = new Hop(job, node, now);
@@ -252,8 +260,6 @@
         return true;
     }
 
-    // ---- servers
-
     private final class Node {
         final Srv srv;
         final Ring sent = new Ring(), answers = new Ring(), late = new Ring(), strain = new Ring();
@@ -262,8 +268,7 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int most, unreached, slots = 1;
         boolean sick;
-        double barredUntil, order, tokens, tokensAt, born;
-        double meanStrain = 0.2;
+        double barredUntil, order, tokens, tokensAt, born, meanStrain = 0.2;
 
         Node(Srv srv) { this.srv = srv; }
 
@@ -294,14 +299,11 @@
     /** Ranking and health. */
     private final class Fleet {
         final Rules rules;
-        final double start; // a first limit: eight out at a server, over all gateways
+        final double start = Math.max(1, 8.0 / place.gateways); // a first limit: eight out over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
         double warmRate, medianStrain = 0.2, meanUnits = 1;
 
-        Fleet(Rules rules, int gateways) {
-            this.rules = rules;
-            this.start = Math.max(1, 8.0 / gateways);
-        }
+        Fleet(Rules rules) { this.rules = rules; }
 
         void list(List<Srv> entries, boolean whole) {
             if (whole) {
@@ -363,17 +365,13 @@
 
         void rank() {
             ranked.clear();
-            double warmSent = 0;
-            int warm = 0;
             for (Node n : nodes) {
                 if (n.srv.state != Srv.State.UP) continue;
                 ranked.add(n);
                 measure(n);
-                if (n.cold()) continue;
-                warm++;
-                warmSent += n.sent.total(now);
             }
-            warmRate = warm == 0 ? 0 : warmSent / warm / Ring.SPAN;
+            warmRate = ranked.stream().filter(n -> !n.cold()).mapToDouble(n -> n.sent.total(now)).average()
+                    .orElse(0) / Ring.SPAN;
             double usual = median(n -> share(n));
             medianStrain = median(n -> n.meanStrain);
             for (Node n : ranked) {
@@ -382,6 +380,7 @@
                 n.order = n.meanStrain * (1 + 0.2 * chance.nextDouble()); // no herd on one top
             }
             ranked.sort(Comparator.comparingDouble(n -> n.order));
+            lift();
         }
 
         private void measure(Node n) {
@@ -400,7 +399,8 @@
             n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
             if (n.usual < 0) n.usual = n.meanStrain;
             // with a quarter of the first limit, what is slow is no queue: then the usual rises soon
-            n.usual += (n.meanStrain - n.usual) * (n.meanStrain < n.usual || n.limit <= start / 4 ? 0.05 : 0.004);
+            boolean quick = n.meanStrain < n.usual || n.limit <= start / 4;
+            n.usual += (n.meanStrain - n.usual) * (quick ? 0.05 : 0.004);
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
                 n.limit = Math.max(0.2, n.limit * 0.9);
@@ -423,22 +423,16 @@
         }
     }
 
-    // ---- quotas
-
     /** One window of one customer on the counter. */
     private static final class Win {
         final long index;
-        final double start;
         double total; // as last read, with what a flush lost
         double readAt = Double.NEGATIVE_INFINITY;
         double own; // net of this gateway's adds that the counter holds for sure
         double lost; // what a flush took off
         boolean read, asked;
 
-        Win(long index, double start) {
-            this.index = index;
-            this.start = start;
-        }
+        Win(long index) { this.index = index; }
     }
 
     /** A call to the counter; owed is what part of the amount is of earlier reqs. */
@@ -454,6 +448,7 @@
     private final class Book {
         final Customer customer;
         final Plan plan;
+        final Tally tally;
         final double slice, window;
         final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
         Win cur, prev;
@@ -465,6 +460,7 @@
         Book(Customer customer) {
             this.customer = customer;
             this.plan = customer.plan;
+            this.tally = tallies.computeIfAbsent(plan, p -> new Tally());
             this.slice = 1.0 / Math.max(1, customer.width);
             this.window = plan.rate <= 0 ? MAX_WINDOW
                     : Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate);
@@ -475,11 +471,11 @@
             long index = (long) Math.floor(now / window);
             if (cur != null && cur.index == index) return;
             boolean next = cur != null && cur.index == index - 1;
-            prev = next ? cur : new Win(index - 1, (index - 1) * window);
-            cur = new Win(index, index * window);
+            prev = next ? cur : new Win(index - 1);
+            cur = new Win(index);
             if (next) return;
             room = plan.burst;
-            roomAt = cur.start;
+            roomAt = index * window;
         }
 
         /**
@@ -493,7 +489,7 @@
         }
 
         boolean fits(double total) {
-            double into = Math.min(window, now - cur.start);
+            double into = Math.min(window, now - cur.index * window);
             return prev.total * (1 - into / window) + total <= plan.rate * window + plan.burst
                     && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
@@ -502,7 +498,7 @@
         double fitsIn(double units) {
             double total = cur.total + units;
             double limit = plan.rate * window + plan.burst;
-            double into = now - cur.start;
+            double into = now - cur.index * window;
             double at = Math.max((total - plan.burst) / plan.rate, into + (units - room(0)) / plan.rate);
             if (prev.total > 0) at = Math.max(at, window * (1 - (limit - total) / prev.total));
             if (at > window && cur.total > 0) {
@@ -528,7 +524,8 @@
         /** Ceiling and cap on open reqs, for a first dispatch. */
         boolean mayOpen(double units) {
             fill();
-            return (plan.ceilingRate <= 0 || ceiling >= units) && (plan.maxOut <= 0 || out + 0.5 < openSlice());
+            boolean open = plan.maxOut <= 0 || out + 0.5 < openSlice();
+            return open && (plan.ceilingRate <= 0 || ceiling >= units);
         }
 
         /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
--- a/src/main/java/tinford/api/Gateway.java
+++ b/src/main/java/tinford/api/Gateway.java
@@ -15,6 +15,7 @@
 
     /** Makes the decisions of one gateway from the settings it is handed at its start, group by group. */
     interface Maker {
-        Gateway make(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, boolean mustAsk);
+        Gateway make(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, Goal goal,
+                boolean mustAsk);
     }
 }
--- a/src/main/java/tinford/benchlink/Instance.java
+++ b/src/main/java/tinford/benchlink/Instance.java
@@ -10,6 +10,7 @@
 import tinford.api.End;
 import tinford.api.Frontend;
 import tinford.api.Gateway;
+import tinford.api.Goal;
 import tinford.api.Group;
 import tinford.api.Inbox;
 import tinford.api.Limits;
@@ -58,6 +59,7 @@
         Line lim = set.part("Limits");
         Line rule = set.part("Rules");
         Line fam = set.part("Specifics");
+        Line mix = set.part("ResultMix");
         this.gateway = maker.make(up.whole("Prng"),
                 new Place((int) set.whole("MyNumber", 0), (int) set.whole("NInstances"), set.text("Az"),
                         set.millis("TickUs")),
@@ -68,6 +70,7 @@
                         rule.millis("FallUs")),
                 new CounterTerms(fam.flag("Counter"), fam.millis("CountLimitUs"), fam.real("UnitsTop", 1),
                         fam.flag("PostPaid")),
+                new Goal(mix.real("Whole", 1), mix.real("WorstTenant", 0)),
                 set.text("Discovery").equals("subscribe"));
         lines.add(up);
     }
--- a/src/test/java/tinford/Bed.java
+++ b/src/test/java/tinford/Bed.java
@@ -18,7 +18,7 @@
 
     Bed(Limits limits, boolean counter, boolean mustAsk) {
         gateway = new Decide(7, new Place(0, 2, "a", 1), limits, RULES, new CounterTerms(counter, 50, 6, true),
-                mustAsk);
+                new Goal(0.7, 0.3), mustAsk);
         play(Inbox::started);
     }
 
