--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -37,7 +37,7 @@
             Comparator.comparingDouble((Job j) -> -j.worth).thenComparingLong(j -> j.seq));
     private final Ring finished = new Ring();
     private long arrivals, ticks;
-    private double now, spare, meanWorth = 1;
+    private double now, startedAt, spare, meanWorth = 1;
     private Writer out;
 
     public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, Goal goal,
@@ -59,6 +59,7 @@
     }
 
     @Override public void started() {
+        startedAt = now;
         if (mustAsk) out.watch(true);
         out.alarm(TICK, TICK_MS);
     }
@@ -453,7 +454,7 @@
         final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
         Win cur, prev;
         double owed; // used, and not yet on the counter
-        double local, localAt = now, ceiling, ceilingAt = now, lined;
+        double local, localAt = now, ceiling, ceilingAt = startedAt, lined;
         double room, roomAt; // how far the current total may rise, as reads so far tell
         int out;
 
