Take off what was denied at a time-out of a slow counter

Not done in a known silence. Harm: a call that was lost on its way is taken off without having been added.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -649,6 +649,8 @@
                 if (call.job != null) settleSilence(call);
                 // surely not added: what is owed, passed or to be taken back rides on the next call
                 if (how != End.TIMED_OUT) b.owed += call.job == null || call.passed ? call.amount : call.owed;
+                // a slow counter adds late what nobody waits for any more: what was denied comes off again
+                else if (call.job != null && !call.passed && unanswered < SILENT_AFTER) b.owed -= call.job.req.units;
                 if (call.amount == 0) {
                     call.win.asked = false;
                     judgeLater(b);
