--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -479,10 +479,8 @@
             roomAt = index * window;
         }
 
-        /**
-         * Guards against time saved up: a calm stretch, or a first req late in a window, would let rate x
-         * time through at once. So the bound within the window is taken from each earlier read as well.
-         */
+        // guards against time saved up in a calm stretch, or before a first req late in a window: the bound
+        // within the window is taken from each earlier read as well
         double room(double risen) {
             room = Math.min(plan.burst, room + (now - roomAt) * plan.rate - risen);
             roomAt = now;
@@ -562,10 +560,7 @@
 
         Quotas(CounterTerms terms) { this.terms = terms; }
 
-        /**
-         * Guards against a counter with fewer calls to give than there are reqs, slow ones included: beside
-         * the adds of reqs every call is then saved, since calls that fail leave all reqs to the posture.
-         */
+        /** Guards against a slow counter, or one with fewer calls than there are reqs: others are saved. */
         boolean scarce() { return failed.total(now) > 0.05 * answered.total(now); }
 
         Book book(Customer c) {
@@ -648,9 +643,10 @@
                 failed.add(now, 1);
                 if (call.job != null) settleSilence(call);
                 // surely not added: what is owed, passed or to be taken back rides on the next call
+                boolean slow = how == End.TIMED_OUT && unanswered < SILENT_AFTER;
                 if (how != End.TIMED_OUT) b.owed += call.job == null || call.passed ? call.amount : call.owed;
                 // a slow counter adds late what nobody waits for any more: what was denied comes off again
-                else if (call.job != null && !call.passed && unanswered < SILENT_AFTER) b.owed -= call.job.req.units;
+                if (slow && call.job != null && !call.passed) b.owed -= call.job.req.units;
                 if (call.amount == 0) {
                     call.win.asked = false;
                     judgeLater(b);
