--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -124,6 +124,7 @@
         Win countedIn;
         double total;
         boolean begun, over;
+        boolean decided, passed; // the counter is waited for no more; and what its silence brought
 
         Job(Req req) {
             this.req = req;
@@ -437,13 +438,7 @@
     }
 
     /** A call to the counter; owed is what part of the amount is of earlier reqs. */
-    private static final class Call {
-        Book book;
-        Win win;
-        Job job;
-        double amount, owed;
-        boolean decided, passed;
-    }
+    private record Call(Book book, Win win, Job job, double amount, double owed) { }
 
     /** A customer's quota as this gateway knows it. */
     private final class Book {
@@ -553,7 +548,7 @@
     private final class Quotas {
         final CounterTerms terms;
         final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
-        final ArrayDeque<Call> asking = new ArrayDeque<>();
+        final ArrayDeque<Job> asking = new ArrayDeque<>();
         final Ring answered = new Ring(), failed = new Ring();
         int unanswered;
         double askedAt = Double.NEGATIVE_INFINITY;
@@ -590,46 +585,36 @@
                 b.prev.asked = true;
                 call(b, b.prev, null, 0);
             }
-            Call call = call(b, b.cur, job, units);
-            if (silent) {
-                call.decided = true;
-                call.passed = posture(job);
-            } else {
-                asking.add(call);
-            }
+            call(b, b.cur, job, units);
+            if (silent) settleSilence(job);
+            else asking.add(job);
         }
 
-        private Call call(Book b, Win win, Job job, double units) {
+        private void call(Book b, Win win, Job job, double units) {
             double owed = win == b.cur ? b.owed : 0;
             if (win == b.cur) b.owed = 0;
-            Call call = new Call();
-            call.book = b;
-            call.win = win;
-            call.job = job;
-            call.owed = owed;
-            call.amount = units + owed;
+            Call call = new Call(b, win, job, units + owed, owed);
             long name = (b.customer.id << 30) + (win.index & (1 << 30) - 1);
             calls.computeIfAbsent(name, n -> new ArrayDeque<>(2)).add(call);
-            out.add(name, call.amount, 2 * b.window + 1000);
-            return call;
+            out.add(name, call.amount(), 2 * b.window + 1000);
         }
 
         /** Bounds every wait, whichever answer is missing: of this window's name or of the one before. */
         void hurry() {
             while (!asking.isEmpty()) {
-                Call call = asking.peek();
-                boolean waits = !call.decided || call.book.judgedLater.contains(call.job);
-                if (waits && now - call.job.askedAt < 0.05 * call.job.req.frontend.target) return;
+                Job job = asking.peek();
+                boolean waits = !job.decided || job.book.judgedLater.contains(job);
+                if (waits && now - job.askedAt < 0.05 * job.req.frontend.target) return;
                 asking.poll();
-                settleSilence(call);
-                if (call.book.judgedLater.remove(call.job)) judge(call.job);
+                settleSilence(job);
+                if (job.book.judgedLater.remove(job)) judge(job);
             }
         }
 
-        private void settleSilence(Call call) {
-            if (call.decided) return;
-            call.decided = true;
-            call.passed = !call.job.over && posture(call.job);
+        private void settleSilence(Job job) {
+            if (job.decided) return;
+            job.decided = true;
+            job.passed = !job.over && posture(job);
         }
 
         void answer(long name, End how, double total) {
@@ -637,53 +622,51 @@
             if (queue == null) return;
             Call call = queue.poll();
             if (queue.isEmpty()) calls.remove(name);
-            Book b = call.book;
+            Book b = call.book();
+            Job job = call.job();
             if (how != End.GOOD) {
                 unanswered++;
                 failed.add(now, 1);
-                if (call.job != null) settleSilence(call);
+                if (job != null) settleSilence(job);
                 // surely not added: what is owed, passed or to be taken back rides on the next call
-                boolean slow = how == End.TIMED_OUT && unanswered < SILENT_AFTER;
-                if (how != End.TIMED_OUT) b.owed += call.job == null || call.passed ? call.amount : call.owed;
+                if (how != End.TIMED_OUT) b.owed += job == null || job.passed ? call.amount() : call.owed();
                 // a slow counter adds late what nobody waits for any more: what was denied comes off again
-                if (slow && call.job != null && !call.passed) b.owed -= call.job.req.units;
-                if (call.amount == 0) {
-                    call.win.asked = false;
-                    judgeLater(b);
-                }
+                else if (unanswered < SILENT_AFTER && job != null && !job.passed) b.owed -= job.req.units;
+                if (call.win() != b.cur) call.win().asked = false;
+                judgeLater(b);
                 return;
             }
             unanswered = 0;
             answered.add(now, 1);
             read(call, total);
-            Job job = call.job;
-            if (job != null) {
-                job.countedIn = call.win;
-                job.total = call.win.total;
+            if (job == null) {
+                judgeLater(b);
+                return;
             }
-            if (job == null) judgeLater(b);
-            else if (call.decided) {
-                if (!call.passed || job.over && job.hops.isEmpty()) takeBack(job);
-            } else {
-                call.decided = true;
-                if (call.win == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
-                else judge(job);
+            job.countedIn = call.win();
+            job.total = call.win().total;
+            if (job.decided) {
+                if (!job.passed || job.over && job.hops.isEmpty()) takeBack(job);
+                return;
             }
+            job.decided = true;
+            if (call.win() == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
+            else judge(job);
         }
 
         /** A total below what this gateway alone added means a flush: what was known stays as a floor. */
         private void read(Call call, double total) {
-            Win w = call.win;
-            w.own += call.amount;
+            Win w = call.win();
+            w.own += call.amount();
             if (total < w.own - terms.largest) {
-                w.lost = Math.max(w.lost, w.total - Math.max(0, total - call.amount));
+                w.lost = Math.max(w.lost, w.total - Math.max(0, total - call.amount()));
                 w.own = total;
             }
             double risen = total + w.lost - w.total;
-            double units = call.job == null ? 0 : call.job.req.units;
-            if (w == call.book.cur || w.read) {
-                call.book.room(risen - units);
-                call.book.room -= units;
+            double units = call.job() == null ? 0 : call.job().req.units;
+            if (w == call.book().cur || w.read) {
+                call.book().room(risen - units);
+                call.book().room -= units;
             }
             w.total = total + w.lost;
             w.read = true;
