--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -21,7 +21,8 @@
  * </ol>
  */
 public final class Decide implements Gateway, Inbox {
-    private static final long TICK = 1;
+    private static final long TICK = 1, WATCH = 2;
+    private static final double WATCH_MS = 500; // a refused list service is not asked faster than this
     private static final double TICK_MS = 50; // line and waits are looked at this often; far below any target
     private static final int TICKS_A_RANK = 4; // a new order each 200 ms: some answers a server lie between
 
@@ -64,11 +65,12 @@
         out.alarm(TICK, TICK_MS);
     }
 
-    @Override public void listRefused() { if (mustAsk) out.watch(true); }
+    @Override public void listRefused() { if (mustAsk) out.alarm(WATCH, WATCH_MS); }
 
     @Override public void listed(List<Srv> entries, boolean whole) { fleet.list(entries, whole); }
 
     @Override public void alarm(long token) {
+        if (token == WATCH) out.watch(true);
         if (token != TICK) return;
         out.alarm(TICK, TICK_MS);
         quotas.hurry();
@@ -89,10 +91,22 @@
 
     @Override public void left(Req req) { over((Job) req.notes); }
 
-    // no probes are sent and peers are told nothing: answers and the counter tell enough for less
     @Override public void probed(Srv srv, End how, double took, double[] load) { }
 
-    @Override public void heard(int peer, String text) { }
+    /** Part of a slice is lent by debiting the giver first; nobody holds more than one full slice. */
+    @Override public void heard(int peer, String text) {
+        String[] word = text.split(" ");
+        Book b = quotas.books.get(Long.parseLong(word[1]));
+        if (b == null) return;
+        double units = Double.parseDouble(word[2]);
+        double full = b.plan.ceilingBurst * b.slice;
+        b.fill();
+        boolean lent = word[0].equals("lent");
+        if (!lent) units = Math.min(units, b.ceiling - full / 3); // a third stays for bursts of its own
+        if (units < 0.5) return; // less is not worth a message
+        b.ceiling = Math.min(full, b.ceiling + (lent ? units : -units));
+        if (!lent) out.tell(peer, "lent " + word[1] + " " + units);
+    }
 
     @Override public void counted(long name, End how, double took, double total) {
         quotas.answer(name, how, total);
@@ -103,7 +117,7 @@
         Job job = (Job) req.notes;
         Hop hop = job.hops.get(no);
         hop.end = how;
-        job.book.out--;
+        job.book.open--;
         fleet.learn(hop, how, took);
         if (how == End.GOOD) {
             finished.add(now, 1);
@@ -176,12 +190,13 @@
 
     /** A req within its quota goes to a server, into the line, or is denied when the line would be late. */
     private void admit(Job job) {
-        double value = job.worth * job.req.units;
-        if (job.hops.isEmpty()) job.book.tally.asked.add(now, value);
+        double dry = job.hops.isEmpty() ? job.book.ceilingWait(job.req.units) : 0;
+        if (dry > 0) job.book.plead(2 * dry * job.book.plan.ceilingRate * job.book.slice);
+        if (job.hops.isEmpty()) job.book.tally.asked.add(now, job.worth * job.req.units);
         if (send(job, fleet.pick(job))) return;
         double rate = finished.total(now) / Ring.SPAN;
         double wait = line.headSet(job).size() / Math.max(rate, 1 / job.req.frontend.target);
-        if (now + wait > job.reachBy || now + job.book.ceilingWait(job.req.units) > job.reachBy) {
+        if (now + wait > job.reachBy || now + dry > job.reachBy) {
             finish(job, wait);
         } else {
             line.add(job);
@@ -205,10 +220,8 @@
         }
     }
 
-    /**
-     * A dispatch ended without an answer for the client. What surely never ran goes out again while the
-     * target is in reach; what may have run draws on a budget fed by value: failures cannot multiply load.
-     */
+    // what surely never ran goes out again while the target is in reach; what may have run draws on a budget
+    // fed by value, so that failures cannot multiply load
     private void again(Job job, End how) {
         boolean free = !how.mayHaveRun;
         job.reach();
@@ -250,13 +263,13 @@
     private boolean send(Job job, Node node) {
         if (node == null || !allowed(job, node)) return false;
         if (job.hops.isEmpty()) {
-            job.book.draw(job.req.units);
+            if (job.book.plan.ceilingRate > 0) job.book.ceiling -= job.req.units;
             job.book.tally.sent.add(now, job.worth * job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
         }
         Hop hop = new Hop(job, node, now);
         job.hops.add(hop);
-        job.book.out++;
+        job.book.open++;
         fleet.sent(hop);
         out.dispatch(job.req, node.srv, 0);
         return true;
@@ -419,8 +432,7 @@
         }
 
         private double median(java.util.function.ToDoubleFunction<Node> of) {
-            double[] all = ranked.stream().mapToDouble(of).toArray();
-            Arrays.sort(all);
+            double[] all = ranked.stream().mapToDouble(of).sorted().toArray();
             return all.length == 0 ? 0 : all[(all.length - 1) / 2];
         }
     }
@@ -449,9 +461,9 @@
         final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
         Win cur, prev;
         double owed; // used, and not yet on the counter
-        double local, localAt = now, ceiling, ceilingAt = startedAt, lined;
+        double pledAt, local, localAt = now, ceiling, ceilingAt = startedAt, lined;
         double room, roomAt; // how far the current total may rise, as reads so far tell
-        int out;
+        int open, pleas;
 
         Book(Customer customer) {
             this.customer = customer;
@@ -518,8 +530,8 @@
         /** Ceiling and cap on open reqs, for a first dispatch. */
         boolean mayOpen(double units) {
             fill();
-            boolean open = plan.maxOut <= 0 || out + 0.5 < openSlice();
-            return open && (plan.ceilingRate <= 0 || ceiling >= units);
+            boolean may = plan.maxOut <= 0 || open + 0.5 < openSlice();
+            return may && (plan.ceilingRate <= 0 || ceiling >= units);
         }
 
         /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
@@ -535,7 +547,14 @@
             return plan.ceilingRate <= 0 ? 0 : (units + lined - ceiling) / (plan.ceilingRate * slice);
         }
 
-        void draw(double units) { if (plan.ceilingRate > 0) ceiling -= units; }
+        /** Asks a gateway of the customer's set, each in its turn, for part of its slice. */
+        void plead(double units) {
+            if (!limits.peers || customer.width < 2 || now - pledAt < 2 * TICK_MS) return;
+            pledAt = now;
+            int own = Math.floorMod(place.number - customer.first, place.gateways);
+            int at = (own + 1 + pleas++ % (customer.width - 1)) % customer.width;
+            out.tell((customer.first + at) % place.gateways, "need " + customer.id + " " + units);
+        }
     }
 
     private static final double BURSTS_A_WINDOW = 6; // a burst may go beyond at each edge: few edges
@@ -549,6 +568,7 @@
         final CounterTerms terms;
         final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
         final ArrayDeque<Job> asking = new ArrayDeque<>();
+        final Map<Long, Book> books = new HashMap<>();
         final Ring answered = new Ring(), failed = new Ring();
         int unanswered;
         double askedAt = Double.NEGATIVE_INFINITY;
@@ -559,8 +579,7 @@
         boolean scarce() { return failed.total(now) > 0.05 * answered.total(now); }
 
         Book book(Customer c) {
-            if (c.notes == null) c.notes = new Book(c);
-            return (Book) c.notes;
+            return books.computeIfAbsent(c.id, id -> new Book(c));
         }
 
         void ask(Job job) {
