--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -22,7 +22,6 @@
  */
 public final class Decide implements Gateway, Inbox {
     private static final long TICK = 1, WATCH = 2;
-    private static final double WATCH_MS = 500; // a refused list service is not asked faster than this
     private static final double TICK_MS = 50; // line and waits are looked at this often; far below any target
     private static final int TICKS_A_RANK = 4; // a new order each 200 ms: some answers a server lie between
 
@@ -65,7 +64,7 @@
         out.alarm(TICK, TICK_MS);
     }
 
-    @Override public void listRefused() { if (mustAsk) out.alarm(WATCH, WATCH_MS); }
+    @Override public void listRefused() { if (mustAsk) out.alarm(WATCH, 10 * TICK_MS); }
 
     @Override public void listed(List<Srv> entries, boolean whole) { fleet.list(entries, whole); }
 
@@ -95,6 +94,7 @@
 
     /** Part of a slice is lent by debiting the giver first; nobody holds more than one full slice. */
     @Override public void heard(int peer, String text) {
+        if (!text.matches("(need|lent) \\d{1,18} \\d+(\\.\\d+)?")) return;
         String[] word = text.split(" ");
         Book b = quotas.books.get(Long.parseLong(word[1]));
         if (b == null) return;
@@ -553,7 +553,7 @@
             pledAt = now;
             int own = Math.floorMod(place.number - customer.first, place.gateways);
             int at = (own + 1 + pleas++ % (customer.width - 1)) % customer.width;
-            out.tell((customer.first + at) % place.gateways, "need " + customer.id + " " + units);
+            out.tell((customer.first + at) % place.gateways, "need " + customer.id + " " + Math.ceil(units));
         }
     }
 
