Take half a burst of what rose unseen as recent

Also covers gateways that come back late in a window. Harm: a customer that was even over its gateways gets half a burst less at a gateway it rarely uses.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -321,9 +321,7 @@
         Fleet(Rules rules) { this.rules = rules; }
 
         void list(List<Srv> entries, boolean whole) {
-            if (whole) {
-                for (Node n : nodes) { if (!entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED; }
-            }
+            for (Node n : nodes) { if (whole && !entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED; }
             for (Srv s : entries) {
                 if (s.notes != null) continue;
                 s.notes = new Node(s);
@@ -442,8 +440,7 @@
         final long index;
         double total; // as last read, with what a flush lost
         double readAt = Double.NEGATIVE_INFINITY;
-        double own; // net of this gateway's adds that the counter holds for sure
-        double lost; // what a flush took off
+        double own, lost; // net of this gateway's adds that are surely held; what a flush took off
         boolean read, asked;
 
         Win(long index) { this.index = index; }
@@ -489,7 +486,9 @@
         // guards against time saved up in a calm stretch, or before a first req late in a window: the bound
         // within the window is taken from each earlier read as well
         double room(double risen) {
-            room = Math.min(plan.burst, room + (now - roomAt) * plan.rate - risen);
+            // what rose unseen may have come just now, half a burst of it at most is taken to
+            double most = plan.burst - Math.min(Math.max(0, risen), plan.burst / 2);
+            room = Math.min(most, room + (now - roomAt) * plan.rate - risen);
             roomAt = now;
             return room;
         }
