--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -486,9 +486,7 @@
         // guards against time saved up in a calm stretch, or before a first req late in a window: the bound
         // within the window is taken from each earlier read as well
         double room(double risen) {
-            // what rose unseen may have come just now, half a burst of it at most is taken to
-            double most = plan.burst - Math.min(Math.max(0, risen), plan.burst / 2);
-            room = Math.min(most, room + (now - roomAt) * plan.rate - risen);
+            room = Math.min(plan.burst, room + (now - roomAt) * plan.rate - risen);
             roomAt = now;
             return room;
         }
