--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -314,7 +314,7 @@
     /** Ranking and health. */
     private final class Fleet {
         final Rules rules;
-        final double start = Math.max(1, 8.0 / place.gateways); // a first limit: eight out over all gateways
+        final double start = 5.0 / place.gateways; // a first limit: five out at a server, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
         double warmRate, medianStrain = 0.2, meanUnits = 1;
 
@@ -409,16 +409,16 @@
                 h.late = true;
                 n.late.add(now, 1);
             }
-            n.meanStrain = (sum + 0.2 * 2) / (seen + 2);
+            n.meanStrain = (sum + 0.12 * 2) / (seen + 2);
             if (n.usual < 0) n.usual = n.meanStrain;
-            // with a quarter of the first limit, what is slow is no queue: then the usual rises soon
-            boolean quick = n.meanStrain < n.usual || n.limit <= start / 4;
+            // with a part of the first limit, what is slow is no queue: then the usual rises soon
+            boolean quick = n.meanStrain < n.usual || n.limit <= 0.4 * start;
             n.usual += (n.meanStrain - n.usual) * (quick ? 0.05 : 0.004);
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
                 n.limit = Math.max(0.2, n.limit * 0.9);
             } else if (n.meanStrain < 1.2 * n.usual && n.most >= 0.7 * n.limit) {
-                n.limit = Math.min(200, n.limit * 1.03 + 0.05);
+                n.limit = Math.min(200, n.limit * 1.01 + 0.02);
             }
             n.most = n.running.size();
             // parts of a slot are drawn, so that many gateways together stay under what few cores can do
