Posture's slice saves one large req and is drawn for below it

At 60 gateways and more a slice of the burst is smaller than a req, so silence denied every hard plan. Covers any silence or shortage of the counter. Harm: saved reqs of all gateways can pass at once.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -510,12 +510,19 @@
             return Math.max(1, at - into);
         }
 
-        boolean takeLocal(double units) {
-            local = Math.min(plan.burst * slice, local + (now - localAt) * plan.rate * slice);
+        /** Fills the slice: of many gateways each may save up one large req, or none would ever pass. */
+        double local() {
+            local = Math.min(Math.max(plan.burst * slice, quotas.terms.largest),
+                    local + (now - localAt) * plan.rate * slice);
             localAt = now;
-            if (local < units) return false;
-            local -= units;
-            return true;
+            return local;
+        }
+
+        // a slice smaller than the req is drawn for: over all gateways the slices pass what they hold
+        boolean takeLocal(double units) {
+            boolean takes = local() >= units * chance.nextDouble();
+            local = Math.max(0, local - units);
+            return takes;
         }
 
         private void fill() {
