--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -109,7 +109,7 @@
     }
 
     @Override public void counted(long name, End how, double took, double total) {
-        quotas.answer(name, how, total);
+        quotas.answer(name, how, took, total);
     }
 
     @Override public void ended(Req req, int no, End how, double took, boolean closed, int seenUse,
@@ -497,6 +497,11 @@
                     && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
 
+        /** Whether a window before, as full as it may be, could deny at this total what now would pass. */
+        boolean prevMatters(double total) {
+            return fits(total) && total > (now - cur.index * window) / window * (plan.rate * window + plan.burst);
+        }
+
         /** How long until these units will fit, if nobody else asks. */
         double fitsIn(double units) {
             double total = cur.total + units;
@@ -575,12 +580,20 @@
         final Map<Long, Book> books = new HashMap<>();
         final Ring answered = new Ring(), failed = new Ring();
         int unanswered;
+        double share = 1; // of the calls that a counter short of them leaves to this gateway
         double askedAt = Double.NEGATIVE_INFINITY;
 
         Quotas(CounterTerms terms) { this.terms = terms; }
 
         /** Guards against a slow counter, or one with fewer calls than there are reqs: others are saved. */
-        boolean scarce() { return failed.total(now) > 0.05 * answered.total(now); }
+        boolean scarce() { return share < 1; }
+
+        /** Up by a little for each answer in good time, down for each that was late or none, as much a second. */
+        private void learn(boolean good) {
+            double perSecond = (answered.total(now) + failed.total(now)) * 1000 / Ring.SPAN;
+            if (good) share = Math.min(1, share + 0.06 / Math.max(1, perSecond));
+            else share = Math.max(0.05, share * (1 - Math.min(0.5, 1 / Math.max(1, perSecond))));
+        }
 
         Book book(Customer c) {
             return books.computeIfAbsent(c.id, id -> new Book(c));
@@ -599,15 +612,13 @@
                 return;
             }
             boolean silent = unanswered >= SILENT_AFTER;
-            if (silent && now - askedAt < ASK_SILENT_MS) {
+            // what its slice covers needs the counter least
+            double part = b.local() >= units ? 2 * share - 1 : 2 * share;
+            if (silent ? now - askedAt < ASK_SILENT_MS : part < chance.nextDouble()) {
                 if (posture(job)) b.owed += units;
                 return;
             }
             askedAt = now;
-            if (!b.prev.read && !b.prev.asked && !scarce()) {
-                b.prev.asked = true;
-                call(b, b.prev, null, 0);
-            }
             call(b, b.cur, job, units);
             if (silent) settleSilence(job);
             else asking.add(job);
@@ -640,7 +651,7 @@
             job.passed = !job.over && posture(job);
         }
 
-        void answer(long name, End how, double total) {
+        void answer(long name, End how, double took, double total) {
             ArrayDeque<Call> queue = calls.get(name);
             if (queue == null) return;
             Call call = queue.poll();
@@ -650,6 +661,7 @@
             if (how != End.GOOD) {
                 unanswered++;
                 failed.add(now, 1);
+                learn(false);
                 if (job != null) settleSilence(job);
                 // surely not added: what is owed, passed or to be taken back rides on the next call
                 if (how != End.TIMED_OUT) b.owed += job == null || job.passed ? call.amount() : call.owed();
@@ -661,6 +673,7 @@
             }
             unanswered = 0;
             answered.add(now, 1);
+            learn(took < 0.5 * terms.timeout);
             read(call, total);
             if (job == null) {
                 judgeLater(b);
@@ -673,6 +686,11 @@
                 return;
             }
             job.decided = true;
+            // the window before is read only where it can matter: many gateways would ask for nothing
+            if (!b.prev.read && !b.prev.asked && b.prevMatters(job.total)) {
+                b.prev.asked = true;
+                call(b, b.prev, null, 0);
+            }
             if (call.win() == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
             else judge(job);
         }
