--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -136,7 +136,7 @@
         final List<Hop> hops = new ArrayList<>(1);
         double reachBy, worth;
         Win countedIn;
-        double total;
+        double total, beside;
         boolean begun, over;
         boolean decided, passed; // the counter is waited for no more; and what its silence brought
 
@@ -612,14 +612,16 @@
                 return;
             }
             boolean silent = unanswered >= SILENT_AFTER;
-            // what its slice covers needs the counter least
-            double part = b.local() >= units ? 2 * share - 1 : 2 * share;
+            // what its slice covers needs the counter least; each call carries the likes of it that passed unread
+            double inside = Math.min(units, b.local());
+            double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
             if (silent ? now - askedAt < ASK_SILENT_MS : part < chance.nextDouble()) {
-                if (posture(job)) b.owed += units;
+                if (posture(job) && silent) b.owed += units;
                 return;
             }
+            job.beside = silent ? 0 : inside * (1 / part - 1);
             askedAt = now;
-            call(b, b.cur, job, units);
+            call(b, b.cur, job, units + job.beside);
             if (silent) settleSilence(job);
             else asking.add(job);
         }
@@ -680,7 +682,7 @@
                 return;
             }
             job.countedIn = call.win();
-            job.total = call.win().total;
+            job.total = call.win().total - job.beside;
             if (job.decided) {
                 if (!job.passed || job.over && job.hops.isEmpty()) takeBack(job);
                 return;
@@ -731,8 +733,7 @@
         private void takeBack(Job job) {
             job.countedIn.total -= job.req.units;
             job.book.room += job.req.units;
-            if (!scarce()) call(job.book, job.countedIn, null, -job.req.units);
-            else if (job.countedIn == job.book.cur) job.book.owed -= job.req.units; // rides on the next call
+            call(job.book, job.countedIn, null, -job.req.units);
             job.countedIn = null;
         }
 
