--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -569,7 +569,7 @@
     private static final double BURSTS_A_WINDOW = 6; // a burst may go beyond at each edge: few edges
     private static final double MAX_WINDOW = 29_000; // two fit the counter's memory of a minute
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
-    private static final double ASK_SILENT_MS = 100; // one call this often finds the end of a silence
+    private static final double ASK_SILENT_MS = 50; // all gateways together look this often for a silence's end
     private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
 
     /** The main path and counter doubt. */
@@ -615,7 +615,7 @@
             // what its slice covers needs the counter least; each call carries the likes of it that passed unread
             double inside = Math.min(units, b.local());
             double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
-            if (silent ? now - askedAt < ASK_SILENT_MS : part < chance.nextDouble()) {
+            if (silent ? now - askedAt < Math.min(4000, ASK_SILENT_MS * place.gateways) : part < chance.nextDouble()) {
                 if (posture(job) && silent) b.owed += units;
                 return;
             }
@@ -724,6 +724,7 @@
             if (job.over) {
                 takeBack(job);
             } else if (b.fits(b.cur == job.countedIn ? job.total : b.cur.total)) {
+                b.local = Math.max(0, b.local() - job.req.units); // the slice tells what is left, read or not
                 admit(job);
             } else {
                 finish(job, b.fitsIn(0));
