--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -317,6 +317,8 @@
         final double start = 5.0 / place.gateways; // a first limit: five out at a server, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
         double warmRate, medianStrain = 0.2, meanUnits = 1;
+        double pooled = 0.12, sum = start; // mean strain and sum of limits over the fleet
+        int out, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
 
@@ -332,10 +334,12 @@
 
         double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target; }
 
-        boolean room() { return ranked.stream().anyMatch(n -> n.running.size() < n.slots); }
+        // guards against a fleet of few cores before many gateways, each with part of a slot at each server
+        boolean room() { return out < slots && ranked.stream().anyMatch(n -> n.running.size() < n.slots); }
 
         /** From the top of the order, in three passes that each open a further third of the limits. */
         Node pick(Job job) {
+            if (out >= slots) return null;
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
                     if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && now >= n.barredUntil
@@ -348,6 +352,7 @@
         void sent(Hop hop) {
             Node n = hop.node;
             n.running.add(hop);
+            most = Math.max(most, ++out);
             n.most = Math.max(n.most, n.running.size());
             n.sent.add(now, 1);
             double units = hop.job.req.units;
@@ -358,6 +363,7 @@
         void learn(Hop hop, End how, double took) {
             Node n = hop.node;
             n.running.remove(hop);
+            out--;
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
@@ -378,11 +384,18 @@
 
         void rank() {
             ranked.clear();
+            double parts = 4 * 0.12, seen = 4;
             for (Node n : nodes) {
                 if (n.srv.state != Srv.State.UP) continue;
                 ranked.add(n);
-                measure(n);
+                parts += n.strain.total(now);
+                seen += n.answers.total(now);
             }
+            pooled = parts / seen;
+            ranked.forEach(this::measure);
+            sum = ranked.stream().mapToDouble(n -> n.limit).sum();
+            slots = Math.max(1, (int) (sum + chance.nextDouble()));
+            most = out;
             warmRate = ranked.stream().filter(n -> !n.cold()).mapToDouble(n -> n.sent.total(now)).average()
                     .orElse(0) / Ring.SPAN;
             double usual = median(n -> share(n));
@@ -390,7 +403,7 @@
             for (Node n : ranked) {
                 // against the median: when all are slow, no server is at fault and none is put aside
                 n.sick = n.late.total(now) >= 2 && share(n) > usual + 0.3;
-                n.order = n.meanStrain * (1 + 0.2 * chance.nextDouble()); // no herd on one top
+                n.order = n.meanStrain * (1 + 0.4 / n.limit * chance.nextDouble()); // no herd on one top
             }
             ranked.sort(Comparator.comparingDouble(n -> n.order));
             lift();
@@ -409,20 +422,20 @@
                 h.late = true;
                 n.late.add(now, 1);
             }
-            n.meanStrain = (sum + 0.12 * 2) / (seen + 2);
+            // what is seen of few answers is weighed with what the whole fleet shows
+            n.meanStrain = (sum + pooled * 4) / (seen + 4);
             if (n.usual < 0) n.usual = n.meanStrain;
             // with a part of the first limit, what is slow is no queue: then the usual rises soon
             boolean quick = n.meanStrain < n.usual || n.limit <= 0.4 * start;
             n.usual += (n.meanStrain - n.usual) * (quick ? 0.05 : 0.004);
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
-                n.limit = Math.max(0.2, n.limit * 0.9);
-            } else if (n.meanStrain < 1.2 * n.usual && n.most >= 0.7 * n.limit) {
-                n.limit = Math.min(200, n.limit * 1.01 + 0.02);
+                n.limit = Math.max(0.1 * start, n.limit * 0.9);
+            } else if (n.meanStrain < 1.2 * n.usual && (n.most >= 0.7 * n.limit || most >= 0.7 * this.sum)) {
+                n.limit = Math.min(200, n.limit * 1.01 + 0.01 * start);
             }
             n.most = n.running.size();
-            // parts of a slot are drawn, so that many gateways together stay under what few cores can do
-            n.slots = (int) (n.limit + chance.nextDouble());
+            n.slots = Math.max(1, (int) (n.limit + chance.nextDouble()));
         }
 
         private double share(Node n) {
