--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -279,7 +279,7 @@
         final Srv srv;
         final Ring sent = new Ring(), answers = new Ring(), late = new Ring(), strain = new Ring();
         final List<Hop> running = new ArrayList<>();
-        double limit = fleet.start; // own dispatches at once
+        double first, limit; // own dispatches at once: at first, and as learned
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int most, unreached, slots = 1;
         boolean sick;
@@ -314,10 +314,10 @@
     /** Ranking and health. */
     private final class Fleet {
         final Rules rules;
-        final double start = 5.0 / place.gateways; // a first limit: five out at a server, over all gateways
+        final double start = 5.0 / place.gateways; // five out at a server of middling size, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
         double warmRate, medianStrain = 0.2, meanUnits = 1;
-        double pooled = 0.12, sum = start; // mean strain and sum of limits over the fleet
+        double pooled = 0.12, sum, meanSize = 1; // mean strain and sum of limits over the fleet
         int out, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
@@ -392,6 +392,7 @@
                 seen += n.answers.total(now);
             }
             pooled = parts / seen;
+            meanSize = ranked.stream().mapToDouble(n -> n.srv.size).average().orElse(1);
             ranked.forEach(this::measure);
             sum = ranked.stream().mapToDouble(n -> n.limit).sum();
             slots = Math.max(1, (int) (sum + chance.nextDouble()));
@@ -424,15 +425,19 @@
             }
             // what is seen of few answers is weighed with what the whole fleet shows
             n.meanStrain = (sum + pooled * 4) / (seen + 4);
-            if (n.usual < 0) n.usual = n.meanStrain;
+            n.first = start * (meanSize > 0 && n.srv.size > 0 ? n.srv.size / meanSize : 1);
+            if (n.usual < 0) {
+                n.usual = n.meanStrain;
+                n.limit = n.first;
+            }
             // with a part of the first limit, what is slow is no queue: then the usual rises soon
-            boolean quick = n.meanStrain < n.usual || n.limit <= 0.4 * start;
+            boolean quick = n.meanStrain < n.usual || n.limit <= 0.5 * n.first;
             n.usual += (n.meanStrain - n.usual) * (quick ? 0.05 : 0.004);
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
-                n.limit = Math.max(0.1 * start, n.limit * 0.9);
+                n.limit = Math.max(0.5 * n.first, n.limit * 0.9);
             } else if (n.meanStrain < 1.2 * n.usual && (n.most >= 0.7 * n.limit || most >= 0.7 * this.sum)) {
-                n.limit = Math.min(200, n.limit * 1.01 + 0.01 * start);
+                n.limit = Math.min(200, n.limit * 1.01 + 0.01 * n.first);
             }
             n.most = n.running.size();
             n.slots = Math.max(1, (int) (n.limit + chance.nextDouble()));
