--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -109,7 +109,7 @@
     }
 
     @Override public void counted(long name, End how, double took, double total) {
-        quotas.answer(name, how, took, total);
+        quotas.answer(name, how, total);
     }
 
     @Override public void ended(Req req, int no, End how, double took, boolean closed, int seenUse,
@@ -395,7 +395,7 @@
             meanSize = ranked.stream().mapToDouble(n -> n.srv.size).average().orElse(1);
             ranked.forEach(this::measure);
             sum = ranked.stream().mapToDouble(n -> n.limit).sum();
-            slots = Math.max(1, (int) (sum + chance.nextDouble()));
+            slots = Math.max(1, (int) (sum + Math.sqrt(sum) + chance.nextDouble())); // few at once come in bursts
             most = out;
             warmRate = ranked.stream().filter(n -> !n.cold()).mapToDouble(n -> n.sent.total(now)).average()
                     .orElse(0) / Ring.SPAN;
@@ -609,7 +609,7 @@
         /** Up by a little for each answer in good time, down for each that was late or none, as much a second. */
         private void learn(boolean good) {
             double perSecond = (answered.total(now) + failed.total(now)) * 1000 / Ring.SPAN;
-            if (good) share = Math.min(1, share + 0.06 / Math.max(1, perSecond));
+            if (good) share = Math.min(1, share + 0.15 / Math.max(1, perSecond));
             else share = Math.max(0.05, share * (1 - Math.min(0.5, 1 / Math.max(1, perSecond))));
         }
 
@@ -671,7 +671,7 @@
             job.passed = !job.over && posture(job);
         }
 
-        void answer(long name, End how, double took, double total) {
+        void answer(long name, End how, double total) {
             ArrayDeque<Call> queue = calls.get(name);
             if (queue == null) return;
             Call call = queue.poll();
@@ -693,7 +693,7 @@
             }
             unanswered = 0;
             answered.add(now, 1);
-            learn(took < 0.5 * terms.timeout);
+            learn(true);
             read(call, total);
             if (job == null) {
                 judgeLater(b);
