--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -487,7 +487,7 @@
             this.slice = 1.0 / Math.max(1, customer.width);
             this.window = plan.rate <= 0 ? MAX_WINDOW
                     : Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate);
-            this.local = plan.burst * slice;
+            this.local = Math.max(plan.burst * slice, quotas.terms.largest);
         }
 
         void roll() {
