--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -487,7 +487,7 @@
             this.slice = 1.0 / Math.max(1, customer.width);
             this.window = plan.rate <= 0 ? MAX_WINDOW
                     : Math.min(MAX_WINDOW, BURSTS_A_WINDOW * plan.burst / plan.rate);
-            this.local = Math.max(plan.burst * slice, quotas.terms.largest);
+            this.local = Math.max(plan.burst * slice, fleet.meanUnits);
         }
 
         void roll() {
@@ -535,7 +535,7 @@
 
         /** Fills the slice: of many gateways each may save up one large req, or none would ever pass. */
         double local() {
-            local = Math.min(Math.max(plan.burst * slice, quotas.terms.largest),
+            local = Math.min(Math.max(plan.burst * slice, fleet.meanUnits),
                     local + (now - localAt) * plan.rate * slice);
             localAt = now;
             return local;
