--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -82,6 +82,7 @@
         req.notes = job;
         meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
         // a client about to give up must not be left to wait for the counter
+        if (fleet.cold.size() == fleet.ranked.size()) fleet.warmed(); // none is warm: each req counts for one
         if (now >= job.reachBy) finish(job, 0);
         else quotas.ask(job);
     }
@@ -257,7 +258,7 @@
             }
         }
         if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return false;
-        return !node.cold() || node.coldTokens() >= 1;
+        return !node.cold() || node.tokens >= 1;
     }
 
     private boolean send(Job job, Node node) {
@@ -283,28 +284,18 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int most, unreached, slots = 1;
         boolean sick;
-        double barredUntil, order, tokens, tokensAt, born, meanStrain = 0.2;
+        double barredUntil, order, tokens, born, meanStrain = 0.2;
+        double rel = 1; // its strain over the fleet's, over many answers
 
         Node(Srv srv) { this.srv = srv; }
 
         boolean cold() { return srv.born > 0 && now - srv.born < fleet.rules.coldTime; }
 
-        /**
-         * Guards a cold server: this gateway's share of what it surely can do, inferred from what warm ones
-         * are sent now, with a margin. Empty at start: a restarted gateway does not know what it sent before.
-         */
-        double coldTokens() {
-            if (born != srv.born) {
-                born = srv.born;
-                tokens = 0;
-                tokensAt = now;
-            }
+        /** What a cold server surely can do, as a part of itself warm, with a margin under the rule's multiple. */
+        double coldPart() {
             Rules r = fleet.rules;
-            double part = r.coldFrom + (1 - r.coldFrom) * Math.max(0, now - srv.born) / r.coldTime;
-            double rate = COLD_MARGIN * r.fallMultiple * part * fleet.warmRate;
-            tokens = Math.min(1, tokens + (now - tokensAt) * rate);
-            tokensAt = now;
-            return tokens;
+            return COLD_MARGIN * r.fallMultiple
+                    * (r.coldFrom + (1 - r.coldFrom) * Math.max(0, now - srv.born) / r.coldTime);
         }
     }
 
@@ -316,7 +307,8 @@
         final Rules rules;
         final double start = 5.0 / place.gateways; // five out at a server of middling size, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
-        double warmRate, medianStrain = 0.2, meanUnits = 1;
+        final List<Node> cold = new ArrayList<>();
+        double medianStrain = 0.2, meanUnits = 1;
         double pooled = 0.12, sum, meanSize = 1; // mean strain and sum of limits over the fleet
         int out, most, slots = 1;
 
@@ -340,6 +332,7 @@
         /** From the top of the order, in three passes that each open a further third of the limits. */
         Node pick(Job job) {
             if (out >= slots) return null;
+            for (Node n : cold) { if (now >= n.barredUntil && allowed(job, n)) return n; }
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
                     if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && now >= n.barredUntil
@@ -358,6 +351,15 @@
             double units = hop.job.req.units;
             meanUnits += 0.02 * (units - meanUnits);
             if (n.cold()) n.tokens -= Math.max(1, units / meanUnits);
+            else warmed();
+        }
+
+        /**
+         * Guards cold servers: each earns its part of a dispatch with each one to a warm server. The stock
+         * starts anywhere under one, so that many gateways, or restarted ones, neither send together nor wait.
+         */
+        private void warmed() {
+            for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / Math.max(1, ranked.size() - cold.size()));
         }
 
         void learn(Hop hop, End how, double took) {
@@ -379,15 +381,24 @@
         private void answer(Node n, double part, boolean late) {
             n.answers.add(now, 1);
             n.strain.add(now, Math.min(part, 2));
+            n.rel += 0.1 * (Math.min(4, part / pooled) - n.rel);
             if (late) n.late.add(now, 1);
         }
 
         void rank() {
             ranked.clear();
+            cold.clear();
             double parts = 4 * 0.12, seen = 4;
             for (Node n : nodes) {
                 if (n.srv.state != Srv.State.UP) continue;
                 ranked.add(n);
+                if (n.born != n.srv.born) { // started anew: nothing that was seen of it counts
+                    n.born = n.srv.born;
+                    n.tokens = chance.nextDouble();
+                    n.unreached = 0;
+                    n.barredUntil = 0;
+                }
+                if (n.cold()) cold.add(n);
                 parts += n.strain.total(now);
                 seen += n.answers.total(now);
             }
@@ -397,8 +408,6 @@
             sum = ranked.stream().mapToDouble(n -> n.limit).sum();
             slots = Math.max(1, (int) (sum + Math.sqrt(sum) + chance.nextDouble())); // few at once come in bursts
             most = out;
-            warmRate = ranked.stream().filter(n -> !n.cold()).mapToDouble(n -> n.sent.total(now)).average()
-                    .orElse(0) / Ring.SPAN;
             double usual = median(n -> share(n));
             medianStrain = median(n -> n.meanStrain);
             for (Node n : ranked) {
@@ -424,7 +433,7 @@
                 n.late.add(now, 1);
             }
             // what is seen of few answers is weighed with what the whole fleet shows
-            n.meanStrain = (sum + pooled * 4) / (seen + 4);
+            n.meanStrain = (sum + pooled * n.rel * 4) / (seen + 4);
             n.first = start * (meanSize > 0 && n.srv.size > 0 ? n.srv.size / meanSize : 1);
             if (n.usual < 0) {
                 n.usual = n.meanStrain;
