--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -547,6 +547,8 @@
             return Math.max(1, at - into);
         }
 
+        boolean soft() { return plan.beyondValue > 0 && plan.beyondCost <= 0; }
+
         /** Fills the slice: of many gateways each may save up one large req, or none would ever pass. */
         double local() {
             local = Math.min(Math.max(plan.burst * slice, fleet.meanUnits),
@@ -644,8 +646,8 @@
                 return;
             }
             boolean silent = unanswered >= SILENT_AFTER;
-            // what its slice covers needs the counter least; each call carries the likes of it that passed unread
-            double inside = Math.min(units, b.local());
+            // what passes anyway needs the counter least; each call carries the likes of it that passed unread
+            double inside = b.soft() ? units : Math.min(units, b.local());
             double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
             if (silent ? now - askedAt < Math.min(4000, ASK_SILENT_MS * place.gateways) : part < chance.nextDouble()) {
                 if (posture(job) && silent) b.owed += units;
@@ -774,7 +776,7 @@
         private boolean posture(Job job) {
             Plan p = job.book.plan;
             boolean inside = p.rate <= 0 || job.book.takeLocal(job.req.units);
-            if (!inside && !(p.beyondValue > 0 && p.beyondCost <= 0)) {
+            if (!inside && !job.book.soft()) {
                 finish(job, (job.req.units - job.book.local) / (p.rate * job.book.slice));
                 return false;
             }
