--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -625,7 +625,7 @@
         /** Up by a little for each answer in good time, down for each that was late or none, as much a second. */
         private void learn(boolean good) {
             double perSecond = (answered.total(now) + failed.total(now)) * 1000 / Ring.SPAN;
-            if (good) share = Math.min(1, share + 0.15 / Math.max(1, perSecond));
+            if (good) share = Math.min(1, share + 0.08 / Math.max(1, perSecond));
             else share = Math.max(0.05, share * (1 - Math.min(0.5, 1 / Math.max(1, perSecond))));
         }
 
