--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -493,6 +493,8 @@
         double pledAt, local, localAt = now, ceiling, ceilingAt = startedAt, lined;
         double room, roomAt; // how far the current total may rise, as reads so far tell
         int open, pleas;
+        double seenAt = Double.NEGATIVE_INFINITY;
+        boolean often;
 
         Book(Customer customer) {
             this.customer = customer;
@@ -646,14 +648,18 @@
                 return;
             }
             boolean silent = unanswered >= SILENT_AFTER;
+            // what this gateway sees often is made up for by its next call, what it sees rarely only by others
+            b.often = now - b.seenAt < 1000;
+            b.seenAt = now;
+            boolean exact = silent || b.often;
             // what passes anyway needs the counter least; each call carries the likes of it that passed unread
             double inside = b.soft() ? units : Math.min(units, b.local());
             double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
             if (silent ? now - askedAt < Math.min(4000, ASK_SILENT_MS * place.gateways) : part < chance.nextDouble()) {
-                if (posture(job) && silent) b.owed += units;
+                if (posture(job) && exact) b.owed += units;
                 return;
             }
-            job.beside = silent ? 0 : inside * (1 / part - 1);
+            job.beside = exact ? 0 : inside * (1 / part - 1);
             askedAt = now;
             call(b, b.cur, job, units + job.beside);
             if (silent) settleSilence(job);
@@ -768,7 +774,8 @@
         private void takeBack(Job job) {
             job.countedIn.total -= job.req.units;
             job.book.room += job.req.units;
-            call(job.book, job.countedIn, null, -job.req.units);
+            if (scarce() && job.book.often && job.countedIn == job.book.cur) job.book.owed -= job.req.units;
+            else call(job.book, job.countedIn, null, -job.req.units);
             job.countedIn = null;
         }
 
