--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -93,21 +93,7 @@
 
     @Override public void probed(Srv srv, End how, double took, double[] load) { }
 
-    /** Part of a slice is lent by debiting the giver first; nobody holds more than one full slice. */
-    @Override public void heard(int peer, String text) {
-        if (!text.matches("(need|lent) \\d{1,18} \\d+(\\.\\d+)?")) return;
-        String[] word = text.split(" ");
-        Book b = quotas.books.get(Long.parseLong(word[1]));
-        if (b == null) return;
-        double units = Double.parseDouble(word[2]);
-        double full = b.plan.ceilingBurst * b.slice;
-        b.fill();
-        boolean lent = word[0].equals("lent");
-        if (!lent) units = Math.min(units, b.ceiling - full / 3); // a third stays for bursts of its own
-        if (units < 0.5) return; // less is not worth a message
-        b.ceiling = Math.min(full, b.ceiling + (lent ? units : -units));
-        if (!lent) out.tell(peer, "lent " + word[1] + " " + units);
-    }
+    @Override public void heard(int peer, String text) { }
 
     @Override public void counted(long name, End how, double took, double total) {
         quotas.answer(name, how, total);
@@ -192,7 +178,6 @@
     /** A req within its quota goes to a server, into the line, or is denied when the line would be late. */
     private void admit(Job job) {
         double dry = job.hops.isEmpty() ? job.book.ceilingWait(job.req.units) : 0;
-        if (dry > 0) job.book.plead(2 * dry * job.book.plan.ceilingRate * job.book.slice);
         if (job.hops.isEmpty()) job.book.tally.asked.add(now, job.worth * job.req.units);
         if (send(job, fleet.pick(job))) return;
         double rate = finished.total(now) / Ring.SPAN;
@@ -490,9 +475,9 @@
         final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
         Win cur, prev;
         double owed; // used, and not yet on the counter
-        double pledAt, local, localAt = now, ceiling, ceilingAt = startedAt, lined;
+        double local, localAt = now, ceiling, ceilingAt = startedAt, lined;
         double room, roomAt; // how far the current total may rise, as reads so far tell
-        int open, pleas;
+        int open;
         double seenAt = Double.NEGATIVE_INFINITY;
         boolean often;
 
@@ -591,15 +576,6 @@
             fill();
             return plan.ceilingRate <= 0 ? 0 : (units + lined - ceiling) / (plan.ceilingRate * slice);
         }
-
-        /** Asks a gateway of the customer's set, each in its turn, for part of its slice. */
-        void plead(double units) {
-            if (!limits.peers || customer.width < 2 || now - pledAt < 2 * TICK_MS) return;
-            pledAt = now;
-            int own = Math.floorMod(place.number - customer.first, place.gateways);
-            int at = (own + 1 + pleas++ % (customer.width - 1)) % customer.width;
-            out.tell((customer.first + at) % place.gateways, "need " + customer.id + " " + Math.ceil(units));
-        }
     }
 
     private static final double BURSTS_A_WINDOW = 6; // a burst may go beyond at each edge: few edges
--- a/src/test/java/tinford/DecideTest.java
+++ b/src/test/java/tinford/DecideTest.java
@@ -222,20 +222,6 @@
         assertTrue(passed > 0 && passed <= 10, "slice of 2 units a second, from empty, in 5 s: " + passed);
     }
 
-    @Test
-    public void aSliceIsLentOnceAndOnlyFromWhatIsThere() {
-        Bed bed = new Bed();
-        bed.pass(10_000);
-        Customer c = Bed.customer(Bed.plan(0.2, 0, 0, 4));
-        bed.ask(bed.req(c, READ, 1), 0, 1);
-        List<String> said = new ArrayList<>(bed.play(in -> in.heard(1, "need 5 100")));
-        assertEquals(Bed.count(said, "tell 1 lent 5 5.6"), 1, "9 of 10 held, a third stays: " + said);
-        assertEquals(Bed.count(bed.play(in -> in.heard(1, "need 5 100")), "tell"), 0);
-        for (String odd : List.of("need 77 1", "need 5", "", "lent 5 x", "need 5 1e9")) {
-            assertEquals(Bed.count(bed.play(in -> in.heard(1, odd)), "tell"), 0, odd);
-        }
-    }
-
     @Test
     public void theCapOnOpenReqsHolds() {
         Bed bed = new Bed();
