--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -269,7 +269,7 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int most, unreached, slots = 1;
         boolean sick;
-        double barredUntil, order, turn = chance.nextDouble(), tokens, born, meanStrain = 0.2;
+        double barredUntil, order, tokens, born, meanStrain = 0.2;
         double rel = 1; // its strain over the fleet's, over many answers
 
         Node(Srv srv) { this.srv = srv; }
@@ -295,7 +295,7 @@
         final List<Node> cold = new ArrayList<>();
         double medianStrain = 0.2, meanUnits = 1;
         double pooled = 0.12, sum, meanSize = 1; // mean strain and sum of limits over the fleet
-        int out, most, slots = 1, turns;
+        int out, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
 
@@ -400,12 +400,7 @@
                 n.sick = n.late.total(now) >= 2 && share(n) > usual + 0.3;
                 n.order = n.meanStrain * (1 + 0.4 / n.limit * chance.nextDouble()); // no herd on one top
             }
-            // guards against evidence too thin to tell servers apart: where answers are few, few servers are used,
-            // as many as answers came; one worse than these goes behind all others
-            ranked.sort(Comparator.comparingDouble(n -> n.turn));
-            int front = Math.min(ranked.size(), (int) Math.max(8, seen));
-            ranked.subList(0, front).sort(Comparator.comparingDouble(n -> n.order));
-            for (Node n : ranked.subList(0, front)) { if (n.meanStrain > 1.4 * pooled) n.turn = ++turns; }
+            ranked.sort(Comparator.comparingDouble(n -> n.order));
             lift();
         }
 
