--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -699,8 +699,8 @@
                 return;
             }
             job.decided = true;
-            // the window before is read only where it can matter: many gateways would ask for nothing
-            if (!b.prev.read && !b.prev.asked && b.prevMatters(job.total)) {
+            // short of calls, the window before is read only where it can matter: many gateways ask for nothing
+            if (!b.prev.read && !b.prev.asked && (!scarce() || b.prevMatters(job.total))) {
                 b.prev.asked = true;
                 call(b, b.prev, null, 0);
             }
@@ -733,7 +733,7 @@
             Book b = job.book;
             b.roll();
             if (job.over) {
-                takeBack(job);
+                if (job.countedIn != null) takeBack(job); // else done when its client left
             } else if (b.fits(b.cur == job.countedIn ? job.total : b.cur.total)) {
                 b.local = Math.max(0, b.local() - job.req.units); // the slice tells what is left, read or not
                 admit(job);
--- a/src/test/java/tinford/Bed.java
+++ b/src/test/java/tinford/Bed.java
@@ -75,18 +75,22 @@
 
     /** Brings a req and answers its calls to the counter with the given totals: of the window before, of this one. */
     List<String> ask(Req req, double before, double total) {
-        List<String> asked = new ArrayList<>(play(in -> in.arrived(req)));
-        play(in -> {
+        List<String> all = new ArrayList<>(play(in -> in.arrived(req)));
+        for (List<String> calls = all; count(calls, "add ") > 0; all.addAll(calls)) calls = answers(calls, before, total);
+        return all;
+    }
+
+    /** Answers calls with totals; taking back and reading the window before are told by the amount. */
+    List<String> answers(List<String> calls, double before, double total) {
+        List<String> asked = new ArrayList<>(calls);
+        return new ArrayList<>(play(in -> {
             for (String s : asked) {
                 if (!s.startsWith("add ")) continue;
                 String[] w = s.split(" ");
                 boolean reads = Double.parseDouble(w[2]) == 0;
                 in.counted(Long.parseLong(w[1]), End.GOOD, 1, reads ? before : total);
             }
-        });
-        asked.removeIf(s -> s.startsWith("add "));
-        asked.addAll(said);
-        return asked;
+        }));
     }
 
     /** Ends each call of the last round on the counter this way. */
--- a/src/test/java/tinford/DecideTest.java
+++ b/src/test/java/tinford/DecideTest.java
@@ -34,7 +34,8 @@
         Req req = bed.req(Bed.customer(HARD), READ, units);
         List<String> said = bed.ask(req, before, total);
         assertEquals(Bed.count(said, passes ? "dispatch" : "deny"), 1, said.toString());
-        assertEquals(Bed.count(said, "add"), passes ? 0 : 1, "a denial takes its units back");
+        boolean back = said.stream().anyMatch(s -> s.startsWith("add ") && s.endsWith(" -" + units));
+        assertEquals(back, !passes, "a denial takes its units back");
     }
 
     @Test
@@ -103,6 +104,17 @@
         assertEquals(Bed.count(said, "dispatch"), 0);
     }
 
+    @Test
+    public void aClientThatLeavesBeforeTheWindowBeforeIsReadGetsItsUnitsBackOnce() {
+        Bed bed = new Bed();
+        Req req = bed.req(Bed.customer(HARD), READ, 3);
+        List<String> reads = bed.answers(bed.play(in -> in.arrived(req)), 0, 33);
+        assertEquals(Bed.count(reads, "add"), 1, "the window before is read");
+        List<String> back = new ArrayList<>(bed.play(in -> in.left(req)));
+        back.addAll(bed.answers(reads, 0, 33));
+        assertEquals(Bed.count(back, "add"), 1, back.toString());
+    }
+
     @Test
     public void aFlushedCounterHandsOutNoFreshWindow() {
         Bed bed = new Bed();
