--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -700,11 +700,11 @@
             }
             job.decided = true;
             // short of calls, the window before is read only where it can matter: many gateways ask for nothing
-            if (!b.prev.read && !b.prev.asked && (!scarce() || b.prevMatters(job.total))) {
+            if (!job.over && !b.prev.read && !b.prev.asked && (!scarce() || b.prevMatters(job.total))) {
                 b.prev.asked = true;
                 call(b, b.prev, null, 0);
             }
-            if (call.win() == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
+            if (!job.over && call.win() == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
             else judge(job);
         }
 
