--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -150,7 +150,7 @@
         final Node node;
         final double at;
         End end;
-        boolean late;
+        boolean late, apart; // past the target; or far past what the fleet takes now
 
         Hop(Job job, Node node, double at) {
             this.job = job;
@@ -295,7 +295,7 @@
         final List<Node> cold = new ArrayList<>();
         double medianStrain = 0.2, meanUnits = 1;
         double pooled = 0.12, sum, meanSize = 1; // mean strain and sum of limits over the fleet
-        int out, most, slots = 1;
+        int out, apart, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
 
@@ -350,7 +350,8 @@
         void learn(Hop hop, End how, double took) {
             Node n = hop.node;
             n.running.remove(hop);
-            out--;
+            if (hop.apart) apart--;
+            else out--;
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
@@ -410,6 +411,12 @@
             // what is still out tells of a stalled server before its answers do
             for (Hop h : n.running) {
                 double part = (now - h.at) / h.job.req.frontend.target;
+                // guards a gateway of few slots against the few servers that keep them: these hold no slot of others
+                if (part > 3 * pooled && !h.apart && apart < slots) {
+                    h.apart = true;
+                    apart++;
+                    out--;
+                }
                 if (part <= n.meanStrain) continue;
                 seen++;
                 sum += Math.min(part, 2);
