--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -24,6 +24,7 @@
     private static final long TICK = 1, WATCH = 2;
     private static final double TICK_MS = 50; // line and waits are looked at this often; far below any target
     private static final int TICKS_A_RANK = 4; // a new order each 200 ms: some answers a server lie between
+    private static final int TICKS_A_SWEEP = 200; // what is kept of customers long gone is dropped this often
 
     private final Place place;
     private final Limits limits;
@@ -74,6 +75,7 @@
         out.alarm(TICK, TICK_MS);
         quotas.hurry();
         if (ticks++ % TICKS_A_RANK == 0) fleet.rank();
+        if (ticks % TICKS_A_SWEEP == 0) quotas.forget();
         for (Job job : new ArrayList<>(line)) { if (now >= job.reachBy) finish(job, 0); }
     }
 
@@ -124,7 +126,7 @@
         double reachBy, worth;
         Win countedIn;
         double total, beside;
-        boolean begun, over;
+        boolean begun, over, waits; // and whether only the window before is still to be read
         boolean decided, passed; // the counter is waited for no more; and what its silence brought
 
         Job(Req req) {
@@ -136,27 +138,21 @@
         }
 
         /** Later than this a dispatch would be late, for the target or for the client. */
-        void reach() {
-            reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req.frontend);
-        }
+        void reach() { reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req.frontend); }
 
         boolean running() { return hops.stream().anyMatch(h -> h.end == null); }
 
         boolean mayHaveRun() { return hops.stream().anyMatch(h -> h.end == null || h.end.mayHaveRun); }
     }
 
-    private static final class Hop {
+    private final class Hop {
         final Job job;
         final Node node;
-        final double at;
+        final double at = now;
         End end;
         boolean late, apart; // past the target; or far past what the fleet takes now
 
-        Hop(Job job, Node node, double at) {
-            this.job = job;
-            this.node = node;
-            this.at = at;
-        }
+        Hop(Job job, Node node) { this.job = job; this.node = node; }
     }
 
     /** What one plan lately asked inside its quotas, and what of it was sent on. */
@@ -253,7 +249,7 @@
             job.book.tally.sent.add(now, job.worth * job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
         }
-        Hop hop = new Hop(job, node, now);
+        Hop hop = new Hop(job, node);
         job.hops.add(hop);
         job.book.open++;
         fleet.sent(hop);
@@ -263,7 +259,7 @@
 
     private final class Node {
         final Srv srv;
-        final Ring sent = new Ring(), answers = new Ring(), late = new Ring(), strain = new Ring();
+        final Ring answers = new Ring(), late = new Ring(), strain = new Ring();
         final List<Hop> running = new ArrayList<>();
         double first, limit; // own dispatches at once: at first, and as learned
         double usual = -1; // strain when little waits; quick to fall, slow to rise
@@ -291,25 +287,25 @@
     private final class Fleet {
         final Rules rules;
         final double start = 5.0 / place.gateways; // five out at a server of middling size, over all gateways
-        final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>();
-        final List<Node> cold = new ArrayList<>();
-        double medianStrain = 0.2, meanUnits = 1;
-        double pooled = 0.12, sum, meanSize = 1; // mean strain and sum of limits over the fleet
+        final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>(), cold = new ArrayList<>();
+        double meanUnits = 1, meanSize = 1, pooled = 0.12, sum; // mean strain and sum of limits over the fleet
         int out, apart, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
 
         void list(List<Srv> entries, boolean whole) {
-            for (Node n : nodes) { if (whole && !entries.contains(n.srv)) n.srv.state = Srv.State.REMOVED; }
+            Set<Srv> named = new HashSet<>(entries);
+            for (Node n : nodes) { if (whole && !named.contains(n.srv)) n.srv.state = Srv.State.REMOVED; }
+            nodes.removeIf(n -> n.srv.state == Srv.State.REMOVED && n.running.isEmpty());
             for (Srv s : entries) {
-                if (s.notes != null) continue;
+                if (s.state == Srv.State.REMOVED || s.notes != null && nodes.contains(s.notes)) continue;
                 s.notes = new Node(s);
                 nodes.add((Node) s.notes);
             }
             rank();
         }
 
-        double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * medianStrain)) * f.target; }
+        double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * pooled)) * f.target; }
 
         // guards against a fleet of few cores before many gateways, each with part of a slot at each server
         boolean room() { return out < slots && ranked.stream().anyMatch(n -> n.running.size() < n.slots); }
@@ -332,7 +328,6 @@
             n.running.add(hop);
             most = Math.max(most, ++out);
             n.most = Math.max(n.most, n.running.size());
-            n.sent.add(now, 1);
             double units = hop.job.req.units;
             meanUnits += 0.02 * (units - meanUnits);
             if (n.cold()) n.tokens -= Math.max(1, units / meanUnits);
@@ -344,14 +339,14 @@
          * starts anywhere under one, so that many gateways, or restarted ones, neither send together nor wait.
          */
         private void warmed() {
-            for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / Math.max(1, ranked.size() - cold.size()));
+            int warm = Math.max(1, ranked.size() - cold.size());
+            for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
         }
 
         void learn(Hop hop, End how, double took) {
             Node n = hop.node;
             n.running.remove(hop);
-            if (hop.apart) apart--;
-            else out--;
+            if (hop.apart) apart--; else out--;
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
@@ -394,8 +389,8 @@
             sum = ranked.stream().mapToDouble(n -> n.limit).sum();
             slots = Math.max(1, (int) (sum + Math.sqrt(sum) + chance.nextDouble())); // few at once come in bursts
             most = out;
-            double usual = median(n -> share(n));
-            medianStrain = median(n -> n.meanStrain);
+            double[] shares = ranked.stream().mapToDouble(this::share).sorted().toArray();
+            double usual = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
             for (Node n : ranked) {
                 // against the median: when all are slow, no server is at fault and none is put aside
                 n.sick = n.late.total(now) >= 2 && share(n) > usual + 0.3;
@@ -411,7 +406,7 @@
             // what is still out tells of a stalled server before its answers do
             for (Hop h : n.running) {
                 double part = (now - h.at) / h.job.req.frontend.target;
-                // guards a gateway of few slots against the few servers that keep them: these hold no slot of others
+                // guards a gateway of few slots against the few servers that keep them
                 if (part > 3 * pooled && !h.apart && apart < slots) {
                     h.apart = true;
                     apart++;
@@ -427,10 +422,8 @@
             // what is seen of few answers is weighed with what the whole fleet shows
             n.meanStrain = (sum + pooled * n.rel * 4) / (seen + 4);
             n.first = start * (meanSize > 0 && n.srv.size > 0 ? n.srv.size / meanSize : 1);
-            if (n.usual < 0) {
-                n.usual = n.meanStrain;
-                n.limit = n.first;
-            }
+            if (n.limit <= 0) n.limit = n.first;
+            if (n.usual < 0) n.usual = n.meanStrain;
             // with a part of the first limit, what is slow is no queue: then the usual rises soon
             boolean quick = n.meanStrain < n.usual || n.limit <= 0.5 * n.first;
             n.usual += (n.meanStrain - n.usual) * (quick ? 0.05 : 0.004);
@@ -447,11 +440,6 @@
         private double share(Node n) {
             return n.late.total(now) / Math.max(4, n.answers.total(now) + n.running.size());
         }
-
-        private double median(java.util.function.ToDoubleFunction<Node> of) {
-            double[] all = ranked.stream().mapToDouble(of).sorted().toArray();
-            return all.length == 0 ? 0 : all[(all.length - 1) / 2];
-        }
     }
 
     /** One window of one customer on the counter. */
@@ -460,7 +448,7 @@
         double total; // as last read, with what a flush lost
         double readAt = Double.NEGATIVE_INFINITY;
         double own, lost; // net of this gateway's adds that are surely held; what a flush took off
-        boolean read, asked;
+        boolean read;
 
         Win(long index) { this.index = index; }
     }
@@ -474,7 +462,6 @@
         final Plan plan;
         final Tally tally;
         final double slice, window;
-        final ArrayDeque<Job> judgedLater = new ArrayDeque<>();
         Win cur, prev;
         double owed; // used, and not yet on the counter
         double local, localAt = now, ceiling, ceilingAt = startedAt, lined;
@@ -554,26 +541,17 @@
         }
 
         private void fill() {
-            double fresh = (now - ceilingAt) * plan.ceilingRate * slice;
-            ceiling = Math.min(plan.ceilingBurst * slice, ceiling + fresh);
+            ceiling = Math.min(plan.ceilingBurst * slice, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
             ceilingAt = now;
         }
 
         /** Ceiling and cap on open reqs, for a first dispatch. */
         boolean mayOpen(double units) {
             fill();
-            boolean may = plan.maxOut <= 0 || open + 0.5 < openSlice();
+            boolean may = plan.maxOut <= 0 || open + 0.5 < Math.max(1, plan.maxOut * slice);
             return may && (plan.ceilingRate <= 0 || ceiling >= units);
         }
 
-        /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
-        private double openSlice() {
-            if (cur == null) return Math.max(1, plan.maxOut * slice);
-            double own = Math.max(0, cur.own) + Math.max(0, prev.own);
-            return Math.max(1, plan.maxOut * Math.min(1, (own + plan.burst * slice)
-                    / Math.max(1e-9, cur.total + prev.total + plan.burst)));
-        }
-
         double ceilingWait(double units) {
             fill();
             return plan.ceilingRate <= 0 ? 0 : (units + lined - ceiling) / (plan.ceilingRate * slice);
@@ -609,13 +587,19 @@
             else share = Math.max(0.05, share * (1 - Math.min(0.5, 1 / Math.max(1, perSecond))));
         }
 
-        Book book(Customer c) {
-            return books.computeIfAbsent(c.id, id -> new Book(c));
+        Book book(Customer c) { return books.computeIfAbsent(c.id, id -> new Book(c)); }
+
+        /** What is kept stays bounded: a customer not seen for two windows has no count left that could matter. */
+        void forget() {
+            books.values().removeIf(b -> now - b.seenAt > 2 * MAX_WINDOW && b.open == 0 && b.lined == 0
+                    && b.ceilingWait(b.plan.ceilingBurst * b.slice) <= 0);
         }
 
         void ask(Job job) {
             Book b = job.book;
             b.roll();
+            b.often = now - b.seenAt < 1000;
+            b.seenAt = now;
             double units = job.req.units;
             if (b.plan.rate <= 0 || !terms.present) {
                 posture(job);
@@ -627,13 +611,12 @@
             }
             boolean silent = unanswered >= SILENT_AFTER;
             // what this gateway sees often is made up for by its next call, what it sees rarely only by others
-            b.often = now - b.seenAt < 1000;
-            b.seenAt = now;
             boolean exact = silent || b.often;
             // what passes anyway needs the counter least; each call carries the likes of it that passed unread
             double inside = b.soft() ? units : Math.min(units, b.local());
             double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
-            if (silent ? now - askedAt < Math.min(4000, ASK_SILENT_MS * place.gateways) : part < chance.nextDouble()) {
+            double pause = Math.min(4000, ASK_SILENT_MS * place.gateways);
+            if (silent ? now - askedAt < pause : part < chance.nextDouble()) {
                 if (posture(job) && exact) b.owed += units;
                 return;
             }
@@ -657,11 +640,10 @@
         void hurry() {
             while (!asking.isEmpty()) {
                 Job job = asking.peek();
-                boolean waits = !job.decided || job.book.judgedLater.contains(job);
-                if (waits && now - job.askedAt < 0.05 * job.req.frontend.target) return;
+                if ((!job.decided || job.waits) && now - job.askedAt < 0.05 * job.req.frontend.target) return;
                 asking.poll();
                 settleSilence(job);
-                if (job.book.judgedLater.remove(job)) judge(job);
+                if (job.waits) judge(job);
             }
         }
 
@@ -678,27 +660,24 @@
             if (queue.isEmpty()) calls.remove(name);
             Book b = call.book();
             Job job = call.job();
-            if (how != End.GOOD) {
-                unanswered++;
-                failed.add(now, 1);
-                learn(false);
+            boolean good = how == End.GOOD;
+            unanswered = good ? 0 : unanswered + 1;
+            (good ? answered : failed).add(now, 1);
+            learn(good);
+            if (good) read(call, total);
+            if (call.win() == b.prev && call.amount() == 0) {
+                if (job.waits) judge(job);
+                return;
+            }
+            if (!good) {
                 if (job != null) settleSilence(job);
                 // surely not added: what is owed, passed or to be taken back rides on the next call
                 if (how != End.TIMED_OUT) b.owed += job == null || job.passed ? call.amount() : call.owed();
                 // a slow counter adds late what nobody waits for any more: what was denied comes off again
                 else if (unanswered < SILENT_AFTER && job != null && !job.passed) b.owed -= job.req.units;
-                if (call.win() != b.cur) call.win().asked = false;
-                judgeLater(b);
-                return;
-            }
-            unanswered = 0;
-            answered.add(now, 1);
-            learn(true);
-            read(call, total);
-            if (job == null) {
-                judgeLater(b);
                 return;
             }
+            if (job == null) return;
             job.countedIn = call.win();
             job.total = call.win().total - job.beside;
             if (job.decided) {
@@ -707,11 +686,8 @@
             }
             job.decided = true;
             // short of calls, the window before is read only where it can matter: many gateways ask for nothing
-            if (!job.over && !b.prev.read && !b.prev.asked && (!scarce() || b.prevMatters(job.total))) {
-                b.prev.asked = true;
-                call(b, b.prev, null, 0);
-            }
-            if (!job.over && call.win() == b.cur && !b.prev.read && b.prev.asked) b.judgedLater.add(job);
+            job.waits = !job.over && call.win() == b.cur && !b.prev.read && (!scarce() || b.prevMatters(job.total));
+            if (job.waits) call(b, b.prev, job, 0);
             else judge(job);
         }
 
@@ -724,7 +700,7 @@
                 w.own = total;
             }
             double risen = total + w.lost - w.total;
-            double units = call.job() == null ? 0 : call.job().req.units;
+            double units = call.job() == null || call.amount() == 0 ? 0 : call.job().req.units;
             if (w == call.book().cur || w.read) {
                 call.book().room(risen - units);
                 call.book().room -= units;
@@ -734,11 +710,10 @@
             w.readAt = now;
         }
 
-        private void judgeLater(Book b) { while (!b.judgedLater.isEmpty()) judge(b.judgedLater.poll()); }
-
         private void judge(Job job) {
             Book b = job.book;
             b.roll();
+            job.waits = false;
             if (job.over) {
                 if (job.countedIn != null) takeBack(job); // else done when its client left
             } else if (b.fits(b.cur == job.countedIn ? job.total : b.cur.total)) {
