--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -24,7 +24,6 @@
     private static final long TICK = 1, WATCH = 2;
     private static final double TICK_MS = 50; // line and waits are looked at this often; far below any target
     private static final int TICKS_A_RANK = 4; // a new order each 200 ms: some answers a server lie between
-    private static final int TICKS_A_SWEEP = 200; // what is kept of customers long gone is dropped this often
 
     private final Place place;
     private final Limits limits;
@@ -75,7 +74,7 @@
         out.alarm(TICK, TICK_MS);
         quotas.hurry();
         if (ticks++ % TICKS_A_RANK == 0) fleet.rank();
-        if (ticks % TICKS_A_SWEEP == 0) quotas.forget();
+        if (ticks % 200 == 0) quotas.forget();
         for (Job job : new ArrayList<>(line)) { if (now >= job.reachBy) finish(job, 0); }
     }
 
@@ -83,10 +82,9 @@
         Job job = new Job(req);
         req.notes = job;
         meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
-        // a client about to give up must not be left to wait for the counter
         if (fleet.cold.size() == fleet.ranked.size()) fleet.warmed(); // none is warm: each req counts for one
-        if (now >= job.reachBy) finish(job, 0);
-        else quotas.ask(job);
+        // a client about to give up must not be left to wait for the counter
+        if (now >= job.reachBy) finish(job, 0); else quotas.ask(job);
     }
 
     @Override public void began(Req req, int hop) { ((Job) req.notes).begun = true; }
@@ -112,16 +110,14 @@
             finished.add(now, 1);
             if (settled > 0) quotas.settle(job, settled);
         }
-        if (closed) over(job);
-        else if (!job.over && !job.running()) again(job, how);
+        if (closed) over(job); else if (!job.over && !job.running()) again(job, how);
     }
 
     private final class Job {
         final Req req;
         final Book book;
         final long seq = arrivals++;
-        final double askedAt = now;
-        final double targetAt;
+        final double askedAt = now, targetAt;
         final List<Hop> hops = new ArrayList<>(1);
         double reachBy, worth;
         Win countedIn;
@@ -138,7 +134,7 @@
         }
 
         /** Later than this a dispatch would be late, for the target or for the client. */
-        void reach() { reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req.frontend); }
+        void reach() { reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req); }
 
         boolean running() { return hops.stream().anyMatch(h -> h.end == null); }
 
@@ -159,15 +155,14 @@
     private final class Tally {
         final Ring asked = new Ring(), sent = new Ring();
         double lift = 1;
-
-        double part() { return (sent.total(now) + 1e-9) / (asked.total(now) + 1e-9); }
     }
 
     /** Guards the cheapest plan against starving in the line: the worst served is lifted by its weight. */
     private void lift() {
         double all = tallies.values().stream().mapToDouble(t -> t.asked.total(now)).sum();
         for (Tally t : tallies.values()) t.lift = 1;
-        tallies.values().stream().min(Comparator.comparingDouble(Tally::part)).ifPresent(t ->
+        tallies.values().stream().min(Comparator.comparingDouble(
+                t -> (t.sent.total(now) + 1e-9) / (t.asked.total(now) + 1e-9))).ifPresent(t ->
                 t.lift += worstPlan * Math.min(20, all / (t.asked.total(now) + 1e-9)));
     }
 
@@ -176,28 +171,25 @@
         double dry = job.hops.isEmpty() ? job.book.ceilingWait(job.req.units) : 0;
         if (job.hops.isEmpty()) job.book.tally.asked.add(now, job.worth * job.req.units);
         if (send(job, fleet.pick(job))) return;
-        double rate = finished.total(now) / Ring.SPAN;
-        double wait = line.headSet(job).size() / Math.max(rate, 1 / job.req.frontend.target);
+        double one = Math.min(Ring.SPAN / finished.total(now), job.req.frontend.target); // ends as often
+        double wait = line.headSet(job).size() * one;
         if (now + wait > job.reachBy || now + dry > job.reachBy) {
             finish(job, wait);
         } else {
             line.add(job);
-            job.book.lined += job.req.units;
         }
     }
 
-    private void unline(Job job) { if (line.remove(job)) job.book.lined -= job.req.units; }
-
     /** Nothing more is done for the req; units that were counted but never sent on go back. */
     private void over(Job job) {
         job.over = true;
-        unline(job);
+        line.remove(job);
         if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
     }
 
     private void drainLine() {
         for (Job job : new ArrayList<>(line)) {
-            if (send(job, fleet.pick(job))) unline(job);
+            if (send(job, fleet.pick(job))) line.remove(job);
             else if (!fleet.room()) return;
         }
     }
@@ -205,12 +197,11 @@
     // what surely never ran goes out again while the target is in reach; what may have run draws on a budget
     // fed by value, so that failures cannot multiply load
     private void again(Job job, End how) {
-        boolean free = !how.mayHaveRun;
         job.reach();
-        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches && (free || spare >= 1);
-        if (may && !free) spare--;
-        if (may) admit(job);
-        else finish(job, 0);
+        double costs = how.mayHaveRun ? 1 : 0;
+        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches && spare >= costs;
+        if (may) spare -= costs;
+        if (may) admit(job); else finish(job, 0);
     }
 
     /** The one place of final answers: a denial where the rules let it promise that a retry is harmless. */
@@ -219,8 +210,7 @@
         Effect effect = job.req.frontend.effect;
         boolean harmless = effect == Effect.REPLAYABLE || !job.mayHaveRun()
                 || effect == Effect.UNIQUED && job.req.frontend.group == Group.ALL;
-        if (harmless) out.deny(job.req, Math.max(wait, 2 * TICK_MS));
-        else out.abort(job.req);
+        if (harmless) out.deny(job.req, Math.max(wait, 2 * TICK_MS)); else out.abort(job.req);
     }
 
     /** Every rule on dispatches, asked by every dispatch. */
@@ -263,7 +253,7 @@
         final List<Hop> running = new ArrayList<>();
         double first, limit; // own dispatches at once: at first, and as learned
         double usual = -1; // strain when little waits; quick to fall, slow to rise
-        int most, unreached, slots = 1;
+        int unreached, slots = 1;
         boolean sick;
         double barredUntil, order, tokens, born, meanStrain = 0.2;
         double rel = 1; // its strain over the fleet's, over many answers
@@ -272,11 +262,10 @@
 
         boolean cold() { return srv.born > 0 && now - srv.born < fleet.rules.coldTime; }
 
-        /** What a cold server surely can do, as a part of itself warm, with a margin under the rule's multiple. */
+        /** What a cold server may be sent, as a part of what a warm one gets: under the rule's multiple. */
         double coldPart() {
-            Rules r = fleet.rules;
-            return COLD_MARGIN * r.fallMultiple
-                    * (r.coldFrom + (1 - r.coldFrom) * Math.max(0, now - srv.born) / r.coldTime);
+            double age = Math.max(0, now - srv.born) / fleet.rules.coldTime;
+            return COLD_MARGIN * fleet.rules.fallMultiple * (age + (1 - age) * fleet.rules.coldFrom);
         }
     }
 
@@ -288,7 +277,7 @@
         final Rules rules;
         final double start = 5.0 / place.gateways; // five out at a server of middling size, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>(), cold = new ArrayList<>();
-        double meanUnits = 1, meanSize = 1, pooled = 0.12, sum; // mean strain and sum of limits over the fleet
+        double meanUnits = 1, meanSize = 1, pooled = 0.12, sum; // strain, limits of the fleet
         int out, apart, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
@@ -305,7 +294,7 @@
             rank();
         }
 
-        double typical(Frontend f) { return Math.min(0.8, Math.max(0.1, 1.3 * pooled)) * f.target; }
+        double typical(Req r) { return Math.min(0.8, Math.max(0.1, 1.3 * pooled)) * r.frontend.target; }
 
         // guards against a fleet of few cores before many gateways, each with part of a slot at each server
         boolean room() { return out < slots && ranked.stream().anyMatch(n -> n.running.size() < n.slots); }
@@ -327,17 +316,12 @@
             Node n = hop.node;
             n.running.add(hop);
             most = Math.max(most, ++out);
-            n.most = Math.max(n.most, n.running.size());
-            double units = hop.job.req.units;
-            meanUnits += 0.02 * (units - meanUnits);
-            if (n.cold()) n.tokens -= Math.max(1, units / meanUnits);
-            else warmed();
+            meanUnits += 0.02 * (hop.job.req.units - meanUnits);
+            if (n.cold()) n.tokens -= Math.max(1, hop.job.req.units / meanUnits); else warmed();
         }
 
-        /**
-         * Guards cold servers: each earns its part of a dispatch with each one to a warm server. The stock
-         * starts anywhere under one, so that many gateways, or restarted ones, neither send together nor wait.
-         */
+        // guards cold servers: each earns its part of a dispatch with each one to a warm server, from a stock
+        // anywhere under one, so that many gateways, also restarted ones, do not send together
         private void warmed() {
             int warm = Math.max(1, ranked.size() - cold.size());
             for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
@@ -376,8 +360,7 @@
                 if (n.born != n.srv.born) { // started anew: nothing that was seen of it counts
                     n.born = n.srv.born;
                     n.tokens = chance.nextDouble();
-                    n.unreached = 0;
-                    n.barredUntil = 0;
+                    n.barredUntil = n.unreached = 0;
                 }
                 if (n.cold()) cold.add(n);
                 parts += n.strain.total(now);
@@ -387,7 +370,7 @@
             meanSize = ranked.stream().mapToDouble(n -> n.srv.size).average().orElse(1);
             ranked.forEach(this::measure);
             sum = ranked.stream().mapToDouble(n -> n.limit).sum();
-            slots = Math.max(1, (int) (sum + Math.sqrt(sum) + chance.nextDouble())); // few at once come in bursts
+            slots = Math.max(1, (int) (sum + Math.sqrt(sum) + chance.nextDouble()));
             most = out;
             double[] shares = ranked.stream().mapToDouble(this::share).sorted().toArray();
             double usual = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
@@ -401,8 +384,7 @@
         }
 
         private void measure(Node n) {
-            double seen = n.answers.total(now);
-            double sum = n.strain.total(now);
+            double seen = n.answers.total(now), sum = n.strain.total(now);
             // what is still out tells of a stalled server before its answers do
             for (Hop h : n.running) {
                 double part = (now - h.at) / h.job.req.frontend.target;
@@ -430,10 +412,9 @@
             // what waits at a server only makes it slower, some for long: quick to shrink, slow to grow
             if (n.meanStrain > Math.min(0.4, 1.6 * n.usual)) {
                 n.limit = Math.max(0.5 * n.first, n.limit * 0.9);
-            } else if (n.meanStrain < 1.2 * n.usual && (n.most >= 0.7 * n.limit || most >= 0.7 * this.sum)) {
+            } else if (n.meanStrain < 1.2 * n.usual && most >= 0.7 * this.sum) {
                 n.limit = Math.min(200, n.limit * 1.01 + 0.01 * n.first);
             }
-            n.most = n.running.size();
             n.slots = Math.max(1, (int) (n.limit + chance.nextDouble()));
         }
 
@@ -454,7 +435,7 @@
     }
 
     /** A call to the counter; owed is what part of the amount is of earlier reqs. */
-    private record Call(Book book, Win win, Job job, double amount, double owed) { }
+    private record Call(Book book, Win win, Job job, double amount, double owed, boolean reads) { }
 
     /** A customer's quota as this gateway knows it. */
     private final class Book {
@@ -464,11 +445,11 @@
         final double slice, window;
         Win cur, prev;
         double owed; // used, and not yet on the counter
-        double local, localAt = now, ceiling, ceilingAt = startedAt, lined;
+        double local, localAt = now, ceiling, ceilingAt = startedAt;
         double room, roomAt; // how far the current total may rise, as reads so far tell
-        int open;
         double seenAt = Double.NEGATIVE_INFINITY;
         boolean often;
+        int open;
 
         Book(Customer customer) {
             this.customer = customer;
@@ -507,20 +488,16 @@
 
         /** Whether a window before, as full as it may be, could deny at this total what now would pass. */
         boolean prevMatters(double total) {
-            return fits(total) && total > (now - cur.index * window) / window * (plan.rate * window + plan.burst);
+            return fits(total) && total > (now / window - cur.index) * (plan.rate * window + plan.burst);
         }
 
         /** How long until these units will fit, if nobody else asks. */
         double fitsIn(double units) {
-            double total = cur.total + units;
-            double limit = plan.rate * window + plan.burst;
-            double into = now - cur.index * window;
-            double at = Math.max((total - plan.burst) / plan.rate, into + (units - room(0)) / plan.rate);
-            if (prev.total > 0) at = Math.max(at, window * (1 - (limit - total) / prev.total));
-            if (at > window && cur.total > 0) {
-                at = window + Math.max(0, window * (1 - (limit - units) / cur.total));
-            }
-            return Math.max(1, at - into);
+            double into = now - cur.index * window, total = cur.total + units;
+            double wait = Math.max((total - plan.burst) / plan.rate - into, (units - room(0)) / plan.rate);
+            double left = plan.rate * window + plan.burst - total;
+            if (prev.total > 0) wait = Math.max(wait, window * (1 - left / prev.total) - into);
+            return Math.max(1, wait);
         }
 
         boolean soft() { return plan.beyondValue > 0 && plan.beyondCost <= 0; }
@@ -541,27 +518,36 @@
         }
 
         private void fill() {
-            ceiling = Math.min(plan.ceilingBurst * slice, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
+            double full = plan.ceilingBurst * slice;
+            ceiling = Math.min(full, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
             ceilingAt = now;
         }
 
         /** Ceiling and cap on open reqs, for a first dispatch. */
         boolean mayOpen(double units) {
             fill();
-            boolean may = plan.maxOut <= 0 || open + 0.5 < Math.max(1, plan.maxOut * slice);
+            boolean may = plan.maxOut <= 0 || open + 0.5 < openSlice();
             return may && (plan.ceilingRate <= 0 || ceiling >= units);
         }
 
+        /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
+        private double openSlice() {
+            double own = cur == null ? 0 : Math.max(0, cur.own) + Math.max(0, prev.own);
+            double all = cur == null ? 0 : cur.total + prev.total;
+            double part = (own + plan.burst * slice) / (all + plan.burst + 1e-9);
+            return Math.max(1, plan.maxOut * Math.min(1, part));
+        }
+
         double ceilingWait(double units) {
             fill();
-            return plan.ceilingRate <= 0 ? 0 : (units + lined - ceiling) / (plan.ceilingRate * slice);
+            return plan.ceilingRate <= 0 ? 0 : (units - ceiling) / (plan.ceilingRate * slice);
         }
     }
 
     private static final double BURSTS_A_WINDOW = 6; // a burst may go beyond at each edge: few edges
     private static final double MAX_WINDOW = 29_000; // two fit the counter's memory of a minute
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
-    private static final double ASK_SILENT_MS = 50; // all gateways together look this often for a silence's end
+    private static final double ASK_SILENT_MS = 50; // all gateways together look for its end this often
     private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
 
     /** The main path and counter doubt. */
@@ -572,15 +558,12 @@
         final Map<Long, Book> books = new HashMap<>();
         final Ring answered = new Ring(), failed = new Ring();
         int unanswered;
-        double share = 1; // of the calls that a counter short of them leaves to this gateway
+        double share = 1; // of its calls that a slow counter, or one short of calls, leaves to this gateway
         double askedAt = Double.NEGATIVE_INFINITY;
 
         Quotas(CounterTerms terms) { this.terms = terms; }
 
-        /** Guards against a slow counter, or one with fewer calls than there are reqs: others are saved. */
-        boolean scarce() { return share < 1; }
-
-        /** Up by a little for each answer in good time, down for each that was late or none, as much a second. */
+        /** Up a little with each answer, down with each call that failed; as fast whatever the traffic. */
         private void learn(boolean good) {
             double perSecond = (answered.total(now) + failed.total(now)) * 1000 / Ring.SPAN;
             if (good) share = Math.min(1, share + 0.08 / Math.max(1, perSecond));
@@ -589,9 +572,9 @@
 
         Book book(Customer c) { return books.computeIfAbsent(c.id, id -> new Book(c)); }
 
-        /** What is kept stays bounded: a customer not seen for two windows has no count left that could matter. */
+        /** Keeps memory bounded: of a customer not seen for two windows no count matters any more. */
         void forget() {
-            books.values().removeIf(b -> now - b.seenAt > 2 * MAX_WINDOW && b.open == 0 && b.lined == 0
+            books.values().removeIf(b -> now - b.seenAt > 2 * MAX_WINDOW && b.open == 0
                     && b.ceilingWait(b.plan.ceilingBurst * b.slice) <= 0);
         }
 
@@ -605,14 +588,14 @@
                 posture(job);
                 return;
             }
-            if (b.cur.read && (now - b.cur.readAt < TRUST_MS || scarce()) && !b.fits(b.cur.total + units)) {
+            if (b.cur.read && (now - b.cur.readAt < TRUST_MS || share < 1) && !b.fits(b.cur.total + units)) {
                 finish(job, b.fitsIn(units));
                 return;
             }
             boolean silent = unanswered >= SILENT_AFTER;
-            // what this gateway sees often is made up for by its next call, what it sees rarely only by others
+            // the next call makes up for what is seen often; else a call carries its likes that pass unread
             boolean exact = silent || b.often;
-            // what passes anyway needs the counter least; each call carries the likes of it that passed unread
+            // what passes anyway needs the counter least
             double inside = b.soft() ? units : Math.min(units, b.local());
             double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
             double pause = Math.min(4000, ASK_SILENT_MS * place.gateways);
@@ -623,14 +606,13 @@
             job.beside = exact ? 0 : inside * (1 / part - 1);
             askedAt = now;
             call(b, b.cur, job, units + job.beside);
-            if (silent) settleSilence(job);
-            else asking.add(job);
+            if (silent) settleSilence(job); else asking.add(job);
         }
 
         private void call(Book b, Win win, Job job, double units) {
             double owed = win == b.cur ? b.owed : 0;
             if (win == b.cur) b.owed = 0;
-            Call call = new Call(b, win, job, units + owed, owed);
+            Call call = new Call(b, win, job, units + owed, owed, job != null && units == 0);
             long name = (b.customer.id << 30) + (win.index & (1 << 30) - 1);
             calls.computeIfAbsent(name, n -> new ArrayDeque<>(2)).add(call);
             out.add(name, call.amount(), 2 * b.window + 1000);
@@ -665,7 +647,7 @@
             (good ? answered : failed).add(now, 1);
             learn(good);
             if (good) read(call, total);
-            if (call.win() == b.prev && call.amount() == 0) {
+            if (call.reads()) {
                 if (job.waits) judge(job);
                 return;
             }
@@ -685,10 +667,10 @@
                 return;
             }
             job.decided = true;
-            // short of calls, the window before is read only where it can matter: many gateways ask for nothing
-            job.waits = !job.over && call.win() == b.cur && !b.prev.read && (!scarce() || b.prevMatters(job.total));
-            if (job.waits) call(b, b.prev, job, 0);
-            else judge(job);
+            // short of calls, the window before is read only where it can matter: many gateways ask in vain
+            job.waits = !job.over && call.win() == b.cur && !b.prev.read
+                    && (share >= 1 || b.prevMatters(job.total));
+            if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
         /** A total below what this gateway alone added means a flush: what was known stays as a floor. */
@@ -700,7 +682,7 @@
                 w.own = total;
             }
             double risen = total + w.lost - w.total;
-            double units = call.job() == null || call.amount() == 0 ? 0 : call.job().req.units;
+            double units = call.job() == null || call.reads() ? 0 : call.job().req.units;
             if (w == call.book().cur || w.read) {
                 call.book().room(risen - units);
                 call.book().room -= units;
@@ -727,7 +709,7 @@
         private void takeBack(Job job) {
             job.countedIn.total -= job.req.units;
             job.book.room += job.req.units;
-            if (scarce() && job.book.often && job.countedIn == job.book.cur) job.book.owed -= job.req.units;
+            if (share < 1 && job.book.often && job.countedIn == job.book.cur) job.book.owed -= job.req.units;
             else call(job.book, job.countedIn, null, -job.req.units);
             job.countedIn = null;
         }
