--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -17,7 +17,7 @@
  * <li>ranking: servers in an order renewed by a timer, filled from the top to learned limits, then a line;
  * <li>health: a server's share of failures against the median of the fleet;
  * <li>further dispatches: from a budget fed by the value of first ones;
- * <li>counter doubt: known silence, floors under emptied counts, no call for a quota known to be empty.
+ * <li>counter doubt: known silence, fewer calls to a short counter, floors, quotas known to be empty.
  * </ol>
  */
 public final class Decide implements Gateway, Inbox {
--- a/src/main/java/tinford/api/Customer.java
+++ b/src/main/java/tinford/api/Customer.java
@@ -6,8 +6,6 @@
     public final Plan plan;
     public final int width;
     public final int first;
-    /** The decisions' own notes. */
-    public Object notes;
 
     public Customer(long id, Plan plan, int width, int first) {
         this.id = id;
