--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -106,10 +106,8 @@
         hop.end = how;
         job.book.open--;
         fleet.learn(hop, how, took);
-        if (how == End.GOOD) {
-            finished.add(now, 1);
-            if (settled > 0) quotas.settle(job, settled);
-        }
+        if (how == End.GOOD) finished.add(now, 1);
+        if (how == End.GOOD && settled > 0) quotas.settle(job, settled);
         if (closed) over(job); else if (!job.over && !job.running()) again(job, how);
     }
 
@@ -201,7 +199,7 @@
         double costs = how.mayHaveRun ? 1 : 0;
         boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches && spare >= costs;
         if (may) spare -= costs;
-        if (may) admit(job); else finish(job, 0);
+        if (may) admit(job); else finish(job, now < job.targetAt ? 0 : job.req.frontend.target);
     }
 
     /** The one place of final answers: a denial where the rules let it promise that a retry is harmless. */
@@ -243,7 +241,9 @@
         job.hops.add(hop);
         job.book.open++;
         fleet.sent(hop);
-        out.dispatch(job.req, node.srv, 0);
+        // guards against reqs that hang wherever they go: what earns nothing more keeps neither server nor slot
+        double cap = job.targetAt - now + 0.25 * job.req.frontend.target;
+        out.dispatch(job.req, node.srv, job.req.frontend.lateValue > 0 ? 0 : Math.max(cap, TICK_MS));
         return true;
     }
 
@@ -502,7 +502,7 @@
 
         boolean soft() { return plan.beyondValue > 0 && plan.beyondCost <= 0; }
 
-        /** Fills the slice: of many gateways each may save up one large req, or none would ever pass. */
+        /** Fills the slice: of many gateways each may save up one mean req, or none would ever pass. */
         double local() {
             local = Math.min(Math.max(plan.burst * slice, fleet.meanUnits),
                     local + (now - localAt) * plan.rate * slice);
