--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -719,7 +719,7 @@
             Plan p = job.book.plan;
             boolean inside = p.rate <= 0 || job.book.takeLocal(job.req.units);
             if (!inside && !job.book.soft()) {
-                finish(job, (job.req.units - job.book.local) / (p.rate * job.book.slice));
+                finish(job, job.req.units / p.rate);
                 return false;
             }
             if (!inside) job.worth *= p.beyondValue;
