--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -17,7 +17,7 @@
  * <li>ranking: servers in an order renewed by a timer, filled from the top to learned limits, then a line;
  * <li>health: a server's share of failures against the median of the fleet;
  * <li>further dispatches: from a budget fed by the value of first ones;
- * <li>counter doubt: known silence, fewer calls to a short counter, floors, quotas known to be empty.
+ * <li>counter doubt: known silence, floors under emptied counts, quotas known to be empty.
  * </ol>
  */
 public final class Decide implements Gateway, Inbox {
@@ -119,7 +119,7 @@
         final List<Hop> hops = new ArrayList<>(1);
         double reachBy, worth;
         Win countedIn;
-        double total, beside;
+        double total;
         boolean begun, over, waits; // and whether only the window before is still to be read
         boolean decided, passed; // the counter is waited for no more; and what its silence brought
 
@@ -448,7 +448,6 @@
         double local, localAt = now, ceiling, ceilingAt = startedAt;
         double room, roomAt; // how far the current total may rise, as reads so far tell
         double seenAt = Double.NEGATIVE_INFINITY;
-        boolean often;
         int open;
 
         Book(Customer customer) {
@@ -486,11 +485,6 @@
                     && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
 
-        /** Whether a window before, as full as it may be, could deny at this total what now would pass. */
-        boolean prevMatters(double total) {
-            return fits(total) && total > (now / window - cur.index) * (plan.rate * window + plan.burst);
-        }
-
         /** How long until these units will fit, if nobody else asks. */
         double fitsIn(double units) {
             double into = now - cur.index * window, total = cur.total + units;
@@ -556,20 +550,11 @@
         final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
         final ArrayDeque<Job> asking = new ArrayDeque<>();
         final Map<Long, Book> books = new HashMap<>();
-        final Ring answered = new Ring(), failed = new Ring();
         int unanswered;
-        double share = 1; // of its calls that a slow counter, or one short of calls, leaves to this gateway
         double askedAt = Double.NEGATIVE_INFINITY;
 
         Quotas(CounterTerms terms) { this.terms = terms; }
 
-        /** Up a little with each answer, down with each call that failed; as fast whatever the traffic. */
-        private void learn(boolean good) {
-            double perSecond = (answered.total(now) + failed.total(now)) * 1000 / Ring.SPAN;
-            if (good) share = Math.min(1, share + 0.08 / Math.max(1, perSecond));
-            else share = Math.max(0.05, share * (1 - Math.min(0.5, 1 / Math.max(1, perSecond))));
-        }
-
         Book book(Customer c) { return books.computeIfAbsent(c.id, id -> new Book(c)); }
 
         /** Keeps memory bounded: of a customer not seen for two windows no count matters any more. */
@@ -581,31 +566,24 @@
         void ask(Job job) {
             Book b = job.book;
             b.roll();
-            b.often = now - b.seenAt < 1000;
             b.seenAt = now;
             double units = job.req.units;
             if (b.plan.rate <= 0 || !terms.present) {
                 posture(job);
                 return;
             }
-            if (b.cur.read && (now - b.cur.readAt < TRUST_MS || share < 1) && !b.fits(b.cur.total + units)) {
+            if (b.cur.read && now - b.cur.readAt < TRUST_MS && !b.fits(b.cur.total + units)) {
                 finish(job, b.fitsIn(units));
                 return;
             }
             boolean silent = unanswered >= SILENT_AFTER;
-            // the next call makes up for what is seen often; else a call carries its likes that pass unread
-            boolean exact = silent || b.often;
-            // what passes anyway needs the counter least
-            double inside = b.soft() ? units : Math.min(units, b.local());
-            double part = Math.min(1, 2 * share) * (inside < units ? 1 : Math.max(0.25, 2 * share - 1));
             double pause = Math.min(4000, ASK_SILENT_MS * place.gateways);
-            if (silent ? now - askedAt < pause : part < chance.nextDouble()) {
-                if (posture(job) && exact) b.owed += units;
+            if (silent && now - askedAt < pause) {
+                if (posture(job)) b.owed += units;
                 return;
             }
-            job.beside = exact ? 0 : inside * (1 / part - 1);
             askedAt = now;
-            call(b, b.cur, job, units + job.beside);
+            call(b, b.cur, job, units);
             if (silent) settleSilence(job); else asking.add(job);
         }
 
@@ -644,8 +622,6 @@
             Job job = call.job();
             boolean good = how == End.GOOD;
             unanswered = good ? 0 : unanswered + 1;
-            (good ? answered : failed).add(now, 1);
-            learn(good);
             if (good) read(call, total);
             if (call.reads()) {
                 if (job.waits) judge(job);
@@ -661,15 +637,13 @@
             }
             if (job == null) return;
             job.countedIn = call.win();
-            job.total = call.win().total - job.beside;
+            job.total = call.win().total;
             if (job.decided) {
                 if (!job.passed || job.over && job.hops.isEmpty()) takeBack(job);
                 return;
             }
             job.decided = true;
-            // short of calls, the window before is read only where it can matter: many gateways ask in vain
-            job.waits = !job.over && call.win() == b.cur && !b.prev.read
-                    && (share >= 1 || b.prevMatters(job.total));
+            job.waits = !job.over && call.win() == b.cur && !b.prev.read;
             if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
@@ -709,8 +683,7 @@
         private void takeBack(Job job) {
             job.countedIn.total -= job.req.units;
             job.book.room += job.req.units;
-            if (share < 1 && job.book.often && job.countedIn == job.book.cur) job.book.owed -= job.req.units;
-            else call(job.book, job.countedIn, null, -job.req.units);
+            call(job.book, job.countedIn, null, -job.req.units);
             job.countedIn = null;
         }
 
