--- a/src/main/java/tinford/api/Req.java
+++ b/src/main/java/tinford/api/Req.java
@@ -1,7 +1,7 @@
 package tinford.api;
 
-/** One client try. */
-public final class Req {
+/** One client try; a front may add what it needs by extending it. */
+public class Req {
     public final long id;
     public final Frontend frontend;
     public final Customer customer;
--- a/src/main/java/tinford/api/Srv.java
+++ b/src/main/java/tinford/api/Srv.java
@@ -1,7 +1,7 @@
 package tinford.api;
 
-/** A server as the list last showed it to this gateway. */
-public final class Srv {
+/** A server as the list last showed it to this gateway; a front may extend it. */
+public class Srv {
     /** What the list says of a server. */
     public enum State { UP, DRAINING, REMOVED }
 
--- a/src/main/java/tinford/benchlink/Bench.java
+++ b/src/main/java/tinford/benchlink/Bench.java
@@ -14,13 +14,15 @@
 import java.util.Map;
 import java.util.Set;
 import tinford.api.Gateway;
+import tinford.handed.BadInput;
+import tinford.handed.Fields;
 
 /** The simulator's wire: batches of lines in, a reply of lines out, many gateways in one process. */
 public final class Bench {
     private final JsonFactory json = new JsonFactory();
     private final Gateway.Maker maker;
     private final Map<String, Instance> up = new HashMap<>();
-    private final Map<Long, List<Line>> sheets = new HashMap<>();
+    private final Map<Long, List<Fields>> sheets = new HashMap<>();
     private int number;
 
     private Bench(Gateway.Maker maker) {
@@ -52,7 +54,7 @@
             Line line = Line.parse(json, number, text);
             if (mark == null) {
                 if (!line.name.equals("Mark")) {
-                    throw new BadInput(number, line.name, "Mark at the start of a batch");
+                    throw new BadInput("line " + number, line.name, "Mark at the start of a batch");
                 }
                 mark = line;
                 continue;
@@ -72,7 +74,7 @@
             }
         }
         if (mark != null) {
-            throw new BadInput(number, "end of input", "Eob at the end of a batch");
+            throw new BadInput("line " + number, "end of input", "Eob at the end of a batch");
         }
     }
 
--- a/src/main/java/tinford/benchlink/Instance.java
+++ b/src/main/java/tinford/benchlink/Instance.java
@@ -4,29 +4,25 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import tinford.api.CounterTerms;
 import tinford.api.Customer;
-import tinford.api.Effect;
 import tinford.api.End;
 import tinford.api.Frontend;
 import tinford.api.Gateway;
-import tinford.api.Goal;
-import tinford.api.Group;
 import tinford.api.Inbox;
-import tinford.api.Limits;
-import tinford.api.Place;
 import tinford.api.Plan;
 import tinford.api.Req;
-import tinford.api.Rules;
 import tinford.api.Srv;
 import tinford.api.Writer;
+import tinford.handed.BadInput;
+import tinford.handed.Fields;
+import tinford.handed.Handed;
 
 /** One gateway on the wire: its ids, and its input as calls on the decisions. */
 final class Instance implements Gateway.Feed {
     final String name;
     private final Gateway gateway;
-    private final Map<String, Frontend> frontends = new HashMap<>();
-    private final Map<String, Plan> plans = new HashMap<>();
+    private final Map<String, Frontend> frontends;
+    private final Map<String, Plan> plans;
     private final Map<String, Srv> servers = new HashMap<>();
     private final Map<Long, Door> reqs = new HashMap<>();
     private final List<Line> lines = new ArrayList<>();
@@ -44,57 +40,13 @@
 
     Instance(String name, Gateway.Maker maker, Line up) {
         this.name = name;
-        Line set = up.part("Options");
-        for (Line c : set.parts("Classes")) {
-            frontends.put(c.text("Name"), new Frontend(c.text("Name"), c.millis("OnTimeUs"), c.millis("HardLimitUs"),
-                    c.real("Value"), c.real("LateWorth", 0), effect(c), group(c), c.millis("WindowUs"),
-                    c.flag("Stream")));
-        }
-        for (Line t : set.parts("Tariffs")) {
-            plans.put(t.text("Name"), new Plan(t.text("Name"), t.real("QuotaRate", 0) / 1000, t.real("MostAtOnce", 0),
-                    (int) t.real("MaxOut", 0), t.real("Price", 1), t.real("ExtraWorth", 0), t.real("OverrunCost", 0),
-                    t.real("CapRate", 0) / 1000, t.real("CapDepth", 0), t.real("HardSlack", 0)));
-        }
-        Line lim = set.part("Limits");
-        Line rule = set.part("Rules");
-        Line fam = set.part("Specifics");
-        Line mix = set.part("ResultMix");
-        this.gateway = maker.make(up.whole("Prng"),
-                new Place((int) set.whole("MyNumber", 0), (int) set.whole("NInstances"), set.text("Az"),
-                        set.millis("TickUs")),
-                new Limits((int) lim.whole("MaxAttempts"), lim.flag("MayDuplicate"), lim.flag("Cancel"),
-                        lim.flag("Peers"), lim.flag("Probes"),
-                        lim.flag("RetryAfter") ? lim.millis("MaxRetryAfterUs") : 0),
-                new Rules(rule.real("ColdFrom"), rule.millis("ColdUs"), rule.real("FallMultiple"),
-                        rule.millis("FallUs")),
-                new CounterTerms(fam.flag("Counter"), fam.millis("CountLimitUs"), fam.real("UnitsTop", 1),
-                        fam.flag("PostPaid")),
-                new Goal(mix.real("Whole", 1), mix.real("WorstTenant", 0)),
-                set.text("Discovery").equals("subscribe"));
+        Fields set = up.part("Options");
+        frontends = Handed.frontends(set);
+        plans = Handed.plans(set);
+        this.gateway = Handed.make(maker, up.whole("Prng"), set);
         lines.add(up);
     }
 
-    private static Effect effect(Line c) {
-        return switch (c.text("Effect")) {
-            case "read_like" -> Effect.REPLAYABLE;
-            case "idempotency_key" -> Effect.UNIQUED;
-            case "non_idempotent" -> Effect.NON_REPLAYABLE;
-            default -> throw c.bad("Effect", "read_like, idempotency_key or non_idempotent");
-        };
-    }
-
-    private static Group group(Line c) {
-        if (effect(c) != Effect.UNIQUED) {
-            return Group.ALL;
-        }
-        return switch (c.text("Group")) {
-            case "all" -> Group.ALL;
-            case "zone" -> Group.ZONE;
-            case "cell" -> Group.CELL;
-            default -> throw c.bad("Group", "all, zone or cell");
-        };
-    }
-
     private static End end(Line l) {
         return switch (l.text("How")) {
             case "success" -> End.GOOD;
@@ -143,7 +95,7 @@
                 case "Pong" -> probed(l, in);
                 case "Whisper" -> in.heard((int) l.whole("SrcPeer", 0), l.text("Blob"));
                 case "Added" -> in.counted(l.whole("Name"), end(l), l.millis("TookUs"), l.real("NowAt", 0));
-                default -> throw new BadInput(l.number, l.name, "a message of the wire");
+                default -> throw new BadInput("line " + l.number, l.name, "a message of the wire");
             }
         }
     }
@@ -167,7 +119,7 @@
             default -> throw l.bad("Scope", "changes, all, remembered or refused");
         }
         List<Srv> entries = new ArrayList<>();
-        for (Line e : l.sheet) {
+        for (Fields e : l.sheet) {
             Srv srv = servers.computeIfAbsent(e.text("Server"), Srv::new);
             srv.zone = e.text("FailureDomain");
             srv.cell = (int) e.whole("Bay", 0);
--- /dev/null
+++ b/src/main/java/tinford/handed/Fields.java
@@ -0,0 +1,180 @@
+package tinford.handed;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** An object of named values, read with checks; what is not as expected is named by place and field. */
+public class Fields {
+    private final String where;
+    private final String name;
+    private final Map<String, Object> fields;
+
+    protected Fields(String where, String name, Map<String, Object> fields) {
+        this.where = where;
+        this.name = name;
+        this.fields = fields;
+    }
+
+    /** A text that holds one object. */
+    public static Fields of(JsonFactory json, String where, String text) {
+        try (JsonParser in = json.createParser(text)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new BadInput(where, "text", "a JSON object");
+            }
+            Fields found = new Fields(where, "", object(in));
+            if (in.nextToken() != null) {
+                throw new BadInput(where, "text", "nothing after the object");
+            }
+            return found;
+        } catch (IOException e) {
+            throw new BadInput(where, "text", "JSON");
+        }
+    }
+
+    protected static Map<String, Object> object(JsonParser in) throws IOException {
+        Map<String, Object> found = new LinkedHashMap<>();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String key = in.getCurrentName();
+            in.nextToken();
+            found.put(key, value(in));
+        }
+        return found;
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT:
+                return object(in);
+            case START_ARRAY:
+                List<Object> all = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    all.add(value(in));
+                }
+                return all;
+            case VALUE_NUMBER_INT:
+                return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER ? in.getDoubleValue()
+                        : (Number) in.getLongValue();
+            case VALUE_NUMBER_FLOAT:
+                return in.getDoubleValue();
+            case VALUE_TRUE:
+                return Boolean.TRUE;
+            case VALUE_FALSE:
+                return Boolean.FALSE;
+            case VALUE_NULL:
+                return null;
+            default:
+                return in.getText();
+        }
+    }
+
+    public BadInput bad(String field, String expected) {
+        return new BadInput(where, name.isEmpty() ? field : name + "." + field, expected);
+    }
+
+    public String text(String field) {
+        if (fields.get(field) instanceof String s) {
+            return s;
+        }
+        throw bad(field, "a text");
+    }
+
+    public boolean flag(String field) {
+        Object v = fields.get(field);
+        if (v == null || v instanceof Boolean) {
+            return Boolean.TRUE.equals(v);
+        }
+        throw bad(field, "true or false");
+    }
+
+    public long whole(String field) {
+        if (fields.get(field) instanceof Long n) {
+            return n;
+        }
+        throw bad(field, "a whole number");
+    }
+
+    public long whole(String field, long absent) {
+        return fields.get(field) == null ? absent : whole(field);
+    }
+
+    public double real(String field) {
+        if (fields.get(field) instanceof Number n) {
+            return n.doubleValue();
+        }
+        throw bad(field, "a number");
+    }
+
+    public double real(String field, double absent) {
+        return fields.get(field) == null ? absent : real(field);
+    }
+
+    /** A time, given in microseconds, as milliseconds; 0 when absent. */
+    public double millis(String field) {
+        return real(field, 0) / 1000;
+    }
+
+    public double[] reals(String field) {
+        Object v = fields.get(field);
+        if (v == null) {
+            return null;
+        }
+        if (!(v instanceof List<?> all)) {
+            throw bad(field, "an array of numbers");
+        }
+        double[] found = new double[all.size()];
+        for (int i = 0; i < found.length; i++) {
+            if (!(all.get(i) instanceof Number n)) {
+                throw bad(field, "an array of numbers");
+            }
+            found[i] = n.doubleValue();
+        }
+        return found;
+    }
+
+    public List<String> texts(String field) {
+        if (!(fields.get(field) instanceof List<?> all)) {
+            throw bad(field, "an array of texts");
+        }
+        List<String> found = new ArrayList<>();
+        for (Object o : all) {
+            if (!(o instanceof String s)) {
+                throw bad(field, "an array of texts");
+            }
+            found.add(s);
+        }
+        return found;
+    }
+
+    public Fields part(String field) {
+        if (fields.get(field) instanceof Map<?, ?> m) {
+            return within(field, m);
+        }
+        throw bad(field, "an object");
+    }
+
+    public List<Fields> parts(String field) {
+        if (!(fields.get(field) instanceof List<?> all)) {
+            throw bad(field, "an array of objects");
+        }
+        List<Fields> found = new ArrayList<>();
+        for (Object o : all) {
+            if (!(o instanceof Map<?, ?> m)) {
+                throw bad(field, "an array of objects");
+            }
+            found.add(within(field, m));
+        }
+        return found;
+    }
+
+    private Fields within(String field, Map<?, ?> m) {
+        Map<String, Object> copy = new LinkedHashMap<>();
+        m.forEach((k, v) -> copy.put((String) k, v));
+        return new Fields(where, name.isEmpty() ? field : name + "." + field, copy);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/program/Serve.java
@@ -0,0 +1,118 @@
+package tinford.program;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import tinford.api.Gateway;
+import tinford.api.Limits;
+import tinford.handed.BadInput;
+import tinford.handed.Fields;
+import tinford.handed.Handed;
+import tinford.routing.Addresses;
+import tinford.routing.Clients;
+import tinford.routing.Counter;
+import tinford.routing.Desk;
+import tinford.routing.Peers;
+import tinford.routing.Servers;
+import tinford.routing.Watch;
+
+/** The gateway as a program: what it is handed, start, and its end. */
+public final class Serve {
+    /** Descriptors that are no connections: the jar, the selectors, the listening sockets, the logs. */
+    private static final int OWN_DESCRIPTORS = 64;
+
+    private Serve() {}
+
+    /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
+    public static int start(Map<String, String> env, PrintStream err, Gateway.Maker maker) {
+        try {
+            run(env, maker);
+            return -1;
+        } catch (BadInput e) {
+            err.println("tinford: " + e.getMessage());
+        } catch (BindException e) {
+            err.println("tinford: an address to listen on is not free: " + e.getMessage());
+        } catch (IOException e) {
+            err.println("tinford: " + e);
+        }
+        return 1;
+    }
+
+    private static void run(Map<String, String> env, Gateway.Maker maker) throws IOException {
+        JsonFactory json = new JsonFactory();
+        Fields given = read(json, env.get("ROUTER_CONFIG"));
+        Fields set = given.part("settings");
+        Limits limits = Handed.limits(set);
+        Fields bounds = set.part("Limits");
+        int sockets = (int) given.part("limits").whole("sockets");
+        int most = sockets - OWN_DESCRIPTORS;
+        Desk desk = new Desk(Handed.make(maker, seed(given), set), limits.maxDispatches, most);
+        double connectWithin = bounds.millis("ConnectTimeoutUs");
+        Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most / 2, loadNames(set));
+        Clients clients = new Clients(desk, Handed.frontends(set), Handed.plans(set),
+                (int) bounds.whole("OpenCap", 20_000), most / 2 - 8);
+        Counter counter = Handed.counter(set).present
+                ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout) : null;
+        Fields known = given.part("known");
+        Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers, Handed.mustAsk(set),
+                json, known.whole("seq", 0));
+        Peers peers = limits.peers ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
+                Addresses.of(given, "peers_all")) : null;
+        desk.seat(clients, servers, counter, watch, peers);
+        clients.listen(Addresses.of(given, "listen"));
+        desk.loop.enter(() -> {
+            desk.begin();
+            servers.list(known);
+            if (counter != null) {
+                counter.connect();
+            }
+            if (!Handed.mustAsk(set)) {
+                watch.want(true);
+            }
+        });
+    }
+
+    private static Fields read(JsonFactory json, String path) {
+        if (path == null) {
+            throw new BadInput("environment", "ROUTER_CONFIG", "the path of the configuration");
+        }
+        try {
+            return Fields.of(json, "configuration", Files.readString(Path.of(path), StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new BadInput("environment", "ROUTER_CONFIG", "a file that can be read, not " + path);
+        }
+    }
+
+    private static long seed(Fields given) {
+        try {
+            return Long.parseUnsignedLong(given.text("seed"), 16);
+        } catch (NumberFormatException e) {
+            throw given.bad("seed", "a number in hex digits");
+        }
+    }
+
+    private static List<String> loadNames(Fields set) {
+        Fields load = set.part("LoadInfo");
+        return load.text("How").equals("silent") ? List.of() : load.texts("Fields");
+    }
+
+    private static List<InetSocketAddress> addresses(Fields given, String field) {
+        List<InetSocketAddress> found = new ArrayList<>();
+        for (String text : given.texts(field)) {
+            InetSocketAddress a = Addresses.of(text);
+            if (a == null) {
+                throw given.bad(field, "numeric host:port, not " + text);
+            }
+            found.add(a);
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/protocol/Ask.java
@@ -0,0 +1,120 @@
+package tinford.protocol;
+
+import java.nio.charset.StandardCharsets;
+
+/** A client's command: its fields, and its bytes, from which the command to a server is made. */
+public final class Ask {
+    private static final int TERMS = 3;
+    public final boolean resendable;
+    public final long customer;
+    public final long id;
+    public String frontend;
+    public String plan;
+    public double patience = -1;
+    public double units = 1;
+    public int width = 1;
+    public int first;
+    public boolean resent;
+    private final byte[] raw;
+    private int termsHead;
+    private int termsFrom;
+    private int termsTo;
+    private int timeFrom = -1;
+    private int timeTo;
+
+    /** @param from where the command begins in the bytes, {@code n} how long it is */
+    public Ask(Resp in, byte[] bytes, int from, int n) throws Malformed {
+        String verb = in.text(0);
+        resendable = verb.equals("Q.ASK");
+        if (!resendable && !verb.equals("Q.DO")) {
+            throw new Malformed("Q.ASK, Q.DO or PING");
+        }
+        int parts = in.parts();
+        if (parts != 4 && (resendable || parts != 5)) {
+            throw new Malformed("customer, id and terms" + (resendable ? "" : ", and a body at most"));
+        }
+        customer = hex(in.text(1), "customer");
+        if (customer >>> 33 != 0) {
+            throw new Malformed("a customer below 2^33");
+        }
+        id = hex(in.text(2), "id");
+        raw = new byte[n];
+        System.arraycopy(bytes, from, raw, 0, n);
+        termsFrom = in.from(TERMS) - from;
+        termsTo = termsFrom + in.length(TERMS);
+        termsHead = termsFrom - 3;
+        while (raw[termsHead] != '$') {
+            termsHead--;
+        }
+        terms();
+        if (frontend == null || plan == null || patience < 0) {
+            throw new Malformed("the terms c, t and d");
+        }
+    }
+
+    private void terms() throws Malformed {
+        for (int at = termsFrom; at < termsTo;) {
+            int stop = at;
+            while (stop < termsTo && raw[stop] != ',') {
+                stop++;
+            }
+            int is = at;
+            while (is < stop && raw[is] != '=') {
+                is++;
+            }
+            if (is == stop) {
+                throw new Malformed("terms as name=value,name=value");
+            }
+            String value = new String(raw, is + 1, stop - is - 1, StandardCharsets.ISO_8859_1);
+            switch (new String(raw, at, is - at, StandardCharsets.ISO_8859_1)) {
+                case "c" -> frontend = value;
+                case "t" -> plan = value;
+                case "d" -> {
+                    patience = real(value, "d", 0, 1e9);
+                    timeFrom = is + 1;
+                    timeTo = stop;
+                }
+                case "units" -> units = real(value, "units", 0, 1e9);
+                case "spread" -> width = (int) real(value, "spread", 1, 1e6);
+                case "first" -> first = (int) real(value, "first", 0, 1e6);
+                case "r" -> resent = value.equals("1");
+                default -> { }
+            }
+            at = stop + 1;
+        }
+    }
+
+    private static double real(String value, String name, double least, double most) throws Malformed {
+        try {
+            double v = Double.parseDouble(value);
+            if (v >= least && v <= most) {
+                return v;
+            }
+        } catch (NumberFormatException e) {
+            // told below, as for a number out of bounds
+        }
+        throw new Malformed(name + " from " + (long) least + " to " + (long) most);
+    }
+
+    private static long hex(String text, String name) throws Malformed {
+        try {
+            if (text.length() == 16) {
+                return Long.parseUnsignedLong(text, 16);
+            }
+        } catch (NumberFormatException e) {
+            // told below
+        }
+        throw new Malformed(name + " of 16 hex digits");
+    }
+
+    public int length() {
+        return raw.length;
+    }
+
+    /** The same command, but for how long its sender will wait, in whole milliseconds. */
+    public void write(tinford.transport.Buf to, long patience) {
+        String time = Long.toString(patience);
+        to.put(raw, 0, termsHead).put("$").put(termsTo - termsFrom - (timeTo - timeFrom) + time.length()).line()
+                .put(raw, termsFrom, timeFrom - termsFrom).put(time).put(raw, timeTo, raw.length - timeTo);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/protocol/Malformed.java
@@ -0,0 +1,10 @@
+package tinford.protocol;
+
+/** Bytes that the protocol does not allow; the message says what was expected. */
+public final class Malformed extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public Malformed(String expected) {
+        super("expected " + expected, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/protocol/Resp.java
@@ -0,0 +1,179 @@
+package tinford.protocol;
+
+import java.nio.charset.StandardCharsets;
+
+/** One RESP2 value at a time, found where it lies: a simple one, or an array of simple ones. Nothing is copied. */
+public final class Resp {
+    private static final int MOST_PARTS = 16;
+    private static final int MOST_LINE = 1024;
+    private static final int MOST_BULK = 64 << 10;
+    /** A whole value is never longer than this. */
+    public static final int MOST = MOST_BULK + MOST_PARTS * 1100;
+
+    private final int[] from = new int[MOST_PARTS];
+    private final int[] to = new int[MOST_PARTS];
+    private final byte[] kind = new byte[MOST_PARTS];
+    private byte[] bytes;
+    private boolean array;
+    private int parts;
+    private int at;
+    private int end;
+
+    /**
+     * Looks for a whole value at the start of the bytes given.
+     *
+     * @return its length, or 0 when more has to come
+     */
+    public int parse(byte[] in, int start, int stop) throws Malformed {
+        bytes = in;
+        at = start;
+        end = stop;
+        parts = 1;
+        array = at < end && bytes[at] == '*';
+        if (array) {
+            long n = number(1);
+            if (n < 0) {
+                return 0;
+            }
+            if (n == 0 || n > MOST_PARTS) {
+                throw new Malformed("an array of 1 to " + MOST_PARTS + " parts");
+            }
+            parts = (int) n;
+        }
+        for (int i = 0; i < parts; i++) {
+            if (!part(i)) {
+                return 0;
+            }
+        }
+        return at - start;
+    }
+
+    private boolean part(int i) throws Malformed {
+        if (at >= end) {
+            return false;
+        }
+        kind[i] = bytes[at];
+        switch (kind[i]) {
+            case '$' -> {
+                if (at + 1 < end && bytes[at + 1] == '-') {
+                    return none(i);
+                }
+                long n = number(1);
+                if (n < 0) {
+                    return false;
+                }
+                if (n > MOST_BULK) {
+                    throw new Malformed("a value of at most " + MOST_BULK + " bytes");
+                }
+                if (end - at < n + 2) {
+                    return false;
+                }
+                from[i] = at;
+                to[i] = at + (int) n;
+                if (bytes[to[i]] != '\r' || bytes[to[i] + 1] != '\n') {
+                    throw new Malformed("the end of a line behind a value");
+                }
+                at = to[i] + 2;
+                return true;
+            }
+            case '+', '-', ':' -> {
+                int stop = line();
+                if (stop < 0) {
+                    return false;
+                }
+                from[i] = at + 1;
+                to[i] = stop;
+                at = stop + 2;
+                return true;
+            }
+            default -> throw new Malformed("a RESP2 value");
+        }
+    }
+
+    private boolean none(int i) throws Malformed {
+        int stop = line();
+        if (stop < 0) {
+            return false;
+        }
+        if (stop - at != 3 || bytes[at + 2] != '1') {
+            throw new Malformed("$-1 for no value");
+        }
+        kind[i] = 0;
+        from[i] = to[i] = stop;
+        at = stop + 2;
+        return true;
+    }
+
+    /** The length behind the sign at the present place, or -1 when more has to come; goes on behind the line. */
+    private long number(int skip) throws Malformed {
+        int stop = line();
+        if (stop < 0) {
+            return -1;
+        }
+        int first = at + skip;
+        if (stop == first || stop - first > 9) {
+            throw new Malformed("a length of 1 to 9 digits");
+        }
+        long n = 0;
+        for (int i = first; i < stop; i++) {
+            if (bytes[i] < '0' || bytes[i] > '9') {
+                throw new Malformed("a length in digits");
+            }
+            n = n * 10 + bytes[i] - '0';
+        }
+        at = stop + 2;
+        return n;
+    }
+
+    private int line() throws Malformed {
+        int most = Math.min(end, at + MOST_LINE);
+        for (int i = at; i + 1 < most; i++) {
+            if (bytes[i] == '\r' && bytes[i + 1] == '\n') {
+                return i;
+            }
+        }
+        if (end - at >= MOST_LINE) {
+            throw new Malformed("a line of under " + MOST_LINE + " bytes");
+        }
+        return -1;
+    }
+
+    public byte[] bytes() {
+        return bytes;
+    }
+
+    public boolean array() {
+        return array;
+    }
+
+    public int parts() {
+        return parts;
+    }
+
+    /** '$' for a bulk string, 0 for a null one, else the sign that the part begins with. */
+    public byte kind(int i) {
+        return kind[i];
+    }
+
+    public int from(int i) {
+        return from[i];
+    }
+
+    public int length(int i) {
+        return to[i] - from[i];
+    }
+
+    public String text(int i) {
+        return new String(bytes, from[i], to[i] - from[i], StandardCharsets.ISO_8859_1);
+    }
+
+    /** A command is an array of bulk strings. */
+    public boolean command() {
+        for (int i = 0; i < parts; i++) {
+            if (kind[i] != '$') {
+                return false;
+            }
+        }
+        return array;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/routing/Backend.java
@@ -0,0 +1,17 @@
+package tinford.routing;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import tinford.api.Srv;
+
+/** A server as the list shows it, with the connections to it. */
+final class Backend extends Srv {
+    InetSocketAddress dial;
+    /** Connections with nothing in them, the last used first. */
+    final ArrayDeque<ServerLink> idle = new ArrayDeque<>();
+    int links;
+
+    Backend(String id) {
+        super(id);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/routing/Clients.java
@@ -0,0 +1,139 @@
+package tinford.routing;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import tinford.api.Customer;
+import tinford.api.Frontend;
+import tinford.api.Plan;
+import tinford.protocol.Ask;
+import tinford.protocol.Malformed;
+import tinford.protocol.Resp;
+import tinford.transport.Door;
+import tinford.transport.Ending;
+
+/** The clients' side: their connections, and the reqs that are open. */
+public final class Clients {
+    private static final int MOST_HELD = 24 << 20; // bytes of commands that wait for an answer
+    final Desk desk;
+    final Resp resp = new Resp();
+    private final Map<String, Frontend> frontends;
+    private final Map<String, Plan> plans;
+    private final int mostOpen;
+    private final int mostLinks;
+    private final Set<ClientLink> links = new LinkedHashSet<>();
+    private Door door;
+    private int open;
+    private long held;
+
+    /** @param mostOpen reqs at once, and {@code mostLinks} connections */
+    public Clients(Desk desk, Map<String, Frontend> frontends, Map<String, Plan> plans, int mostOpen, int mostLinks) {
+        this.desk = desk;
+        this.frontends = frontends;
+        this.plans = plans;
+        this.mostOpen = mostOpen;
+        this.mostLinks = mostLinks;
+    }
+
+    public void listen(InetSocketAddress at) throws IOException {
+        door = new Door(desk.loop, at, () -> {
+            if (links.size() >= mostLinks) {
+                makeRoom();
+            }
+            if (links.size() >= mostLinks) {
+                return null;
+            }
+            ClientLink link = new ClientLink(this);
+            link.lastUse = desk.now;
+            links.add(link);
+            return link;
+        });
+    }
+
+    /** Closing between reqs harms nobody: what crosses the close is sent once more by the client. */
+    private void makeRoom() {
+        ClientLink oldest = null;
+        for (ClientLink l : links) {
+            if (l.idle() && (oldest == null || l.lastUse < oldest.lastUse)) {
+                oldest = l;
+            }
+        }
+        if (oldest != null) {
+            oldest.end(Ending.RETIRED);
+        }
+    }
+
+    Exchange exchange(ClientLink from, Ask ask) throws Malformed {
+        Frontend frontend = frontends.get(ask.frontend);
+        if (frontend == null) {
+            throw new Malformed("c to be one of " + frontends.keySet());
+        }
+        Plan plan = plans.get(ask.plan);
+        if (plan == null) {
+            throw new Malformed("t to be one of " + plans.keySet());
+        }
+        return new Exchange(from, ask, frontend, new Customer(ask.customer, plan, ask.width, ask.first),
+                desk.now + ask.patience);
+    }
+
+    void take(Exchange e) {
+        open++;
+        held += e.ask.length();
+        if (open > mostOpen || held > MOST_HELD) {
+            deny(e, 0);
+        } else {
+            desk.in.arrived(e);
+        }
+    }
+
+    void deny(Exchange e, long ms) {
+        if (over(e)) {
+            e.client.say(e.slot, ms > 0 ? "-BUSY " + ms : "-BUSY");
+        }
+    }
+
+    void abort(Exchange e) {
+        if (over(e)) {
+            e.client.say(e.slot, "-ERR aborted");
+        }
+    }
+
+    void left(Exchange e) {
+        over(e);
+        desk.in.left(e);
+    }
+
+    /** False when it was over before. */
+    boolean over(Exchange e) {
+        if (e.over) {
+            return false;
+        }
+        e.over = true;
+        open--;
+        held -= e.ask.length();
+        return true;
+    }
+
+    void gone(ClientLink link) {
+        links.remove(link);
+    }
+
+    /** From now on connections are closed between reqs. */
+    void retireIdle() {
+        for (ClientLink l : new java.util.ArrayList<>(links)) {
+            if (l.idle() && l.buf().unwritten() == 0) {
+                l.end(Ending.RETIRED);
+            }
+        }
+    }
+
+    void stopListening() {
+        door.close();
+    }
+
+    int links() {
+        return links.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/routing/Counter.java
@@ -0,0 +1,192 @@
+package tinford.routing;
+
+import java.lang.System.Logger.Level;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import tinford.api.End;
+import tinford.protocol.Malformed;
+import tinford.protocol.Resp;
+import tinford.transport.Ending;
+import tinford.transport.Link;
+import tinford.transport.Loop;
+
+/**
+ * The calls on the counter, one behind another on one connection, so that their answers keep the order of the calls. A
+ * call that was given up stays in its place until its answer has come or the connection has ended.
+ */
+public final class Counter {
+    private static final double MOST_KEPT = 60_000;
+    private final Desk desk;
+    private final InetSocketAddress at;
+    private final double connectWithin;
+    private final double timeout;
+    private final Resp resp = new Resp();
+    private final ArrayDeque<Call> unsent = new ArrayDeque<>();
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>(); // not told of, oldest first
+    private Wire wire;
+    private Loop.Timer watch;
+
+    private static final class Call {
+        final long name;
+        final double amount;
+        final double keep;
+        final double at;
+        boolean told;
+
+        Call(long name, double amount, double keep, double at) {
+            this.name = name;
+            this.amount = amount;
+            this.keep = keep;
+            this.at = at;
+        }
+    }
+
+    public Counter(Desk desk, InetSocketAddress at, double connectWithin, double timeout) {
+        this.desk = desk;
+        this.at = at;
+        this.connectWithin = connectWithin;
+        this.timeout = timeout;
+    }
+
+    public void connect() {
+        if (wire == null) {
+            wire = new Wire();
+        }
+    }
+
+    void add(long name, double amount, double keep) {
+        Call c = new Call(name, amount, keep, desk.now);
+        unsent.add(c);
+        waiting.add(c);
+        connect();
+        if (wire.up()) {
+            wire.pass();
+        }
+        if (watch == null) {
+            watch();
+        }
+    }
+
+    private void watch() {
+        watch = waiting.isEmpty() ? null
+                : desk.loop.after(waiting.peek().at + timeout - desk.now, this::giveUp);
+    }
+
+    /** The oldest call has waited long enough; one that never left was surely not added. */
+    private void giveUp() {
+        while (!waiting.isEmpty() && desk.now - waiting.peek().at >= timeout - 0.5) {
+            Call c = waiting.peek();
+            tell(c, Ends.ofCall(Ending.SILENT, !unsent.remove(c)), 0);
+        }
+        watch();
+        if (wire != null) {
+            wire.lookAlive();
+        }
+    }
+
+    private void tell(Call c, End how, double total) {
+        if (c.told) {
+            return;
+        }
+        c.told = true;
+        waiting.remove(c);
+        desk.in.counted(c.name, how, desk.now - c.at, total);
+    }
+
+    private final class Wire extends Link {
+        private final ArrayDeque<Call> sent = new ArrayDeque<>();
+
+        Wire() {
+            super(desk.loop, 1 << 16, 1 << 20);
+            open(at, connectWithin);
+        }
+
+        void pass() {
+            for (Call c = unsent.poll(); c != null; c = unsent.poll()) {
+                String name = Long.toString(c.name);
+                String amount = number(c.amount);
+                String keep = Long.toString((long) Math.min(MOST_KEPT, Math.max(1, Math.ceil(c.keep))));
+                buf.put("*4\r\n$7\r\nCNT.ADD\r\n$").put(name.length()).line().put(name).line().put("$")
+                        .put(amount.length()).line().put(amount).line().put("$").put(keep.length()).line().put(keep)
+                        .line();
+                sent.add(c);
+            }
+            send();
+        }
+
+        // guards against a connection whose other machine is gone without a word: a new one finds out
+        void lookAlive() {
+            if (!sent.isEmpty() && desk.now - sent.peek().at > connectWithin + timeout) {
+                end(Ending.SILENT);
+            }
+        }
+
+        @Override
+        protected void opened() {
+            pass();
+        }
+
+        @Override
+        protected void received() {
+            try {
+                while (!over()) {
+                    int n = resp.parse(buf.bytes(), buf.from(), buf.to());
+                    if (n == 0) {
+                        return;
+                    }
+                    Call c = sent.poll();
+                    if (c == null || resp.array()) {
+                        throw new Malformed("one answer to a call");
+                    }
+                    answer(c);
+                    buf.take(n);
+                }
+            } catch (Malformed e) {
+                desk.complain(Level.WARNING, "counter", e);
+                end(Ending.MALFORMED);
+            }
+        }
+
+        private void answer(Call c) throws Malformed {
+            if (resp.kind(0) == '$') {
+                try {
+                    tell(c, End.GOOD, Double.parseDouble(resp.text(0)));
+                } catch (NumberFormatException e) {
+                    sent.addFirst(c);
+                    throw new Malformed("a total");
+                }
+            } else if (resp.kind(0) == '-') {
+                if (!resp.text(0).startsWith("BUSY")) {
+                    desk.complain(Level.WARNING, "counter", new Malformed("a total or -BUSY, not -" + resp.text(0)));
+                }
+                tell(c, End.FULL, 0);
+            } else {
+                sent.addFirst(c);
+                throw new Malformed("a total or an error");
+            }
+        }
+
+        @Override
+        protected void ended(Ending how) {
+            wire = null;
+            boolean never = how == Ending.REFUSED || how == Ending.NEVER_UP || how == Ending.NO_ROOM;
+            for (Call c : sent) {
+                tell(c, Ends.ofCall(how, true), 0);
+            }
+            for (Call c = never ? unsent.poll() : null; c != null; c = unsent.poll()) {
+                tell(c, Ends.ofCall(how, false), 0);
+            }
+            // the next call opens another; at once where one is under way
+            if (!unsent.isEmpty()) {
+                connect();
+            }
+        }
+    }
+
+    private static String number(double amount) {
+        return amount == Math.rint(amount) && Math.abs(amount) < 1e9 ? Long.toString((long) amount)
+                : BigDecimal.valueOf(amount).setScale(6, RoundingMode.HALF_EVEN).toPlainString();
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/routing/Desk.java
@@ -0,0 +1,159 @@
+package tinford.routing;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.Set;
+import tinford.api.End;
+import tinford.api.Gateway;
+import tinford.api.Inbox;
+import tinford.api.Req;
+import tinford.api.Srv;
+import tinford.api.Writer;
+import tinford.transport.Clock;
+import tinford.transport.Ending;
+import tinford.transport.Loop;
+
+/** Where the decisions sit: each wake-up's input becomes calls on them, and what they write goes its way. */
+public final class Desk implements Writer {
+    private static final System.Logger LOG = System.getLogger("tinford.routing");
+    private static final int MOST_COMPLAINTS = 1000;
+    public final Loop loop;
+    private final Clock clock = new Clock();
+    private final Gateway gateway;
+    private final int mostDispatches;
+    private final Set<String> complaints = new HashSet<>();
+    private Clients clients;
+    private Servers servers;
+    private Counter counter;
+    private Watch watch;
+    private Peers peers;
+    /** Of the present round. */
+    Inbox in;
+    double now = clock.now();
+
+    public Desk(Gateway gateway, int mostDispatches, int descriptors) throws IOException {
+        this.gateway = gateway;
+        this.mostDispatches = mostDispatches;
+        this.loop = new Loop(this::turn, descriptors);
+    }
+
+    public void seat(Clients clients, Servers servers, Counter counter, Watch watch, Peers peers) {
+        this.clients = clients;
+        this.servers = servers;
+        this.counter = counter;
+        this.watch = watch;
+        this.peers = peers;
+    }
+
+    /** The first thing within the first round. */
+    public void begin() {
+        in.started();
+    }
+
+    private void turn() {
+        now = clock.now();
+        gateway.round(now, inbox -> {
+            in = inbox;
+            loop.playAll();
+        }, this);
+    }
+
+    /** Once for who and what, not once a req. */
+    void complain(Level level, String who, Exception what) {
+        if (complaints.size() < MOST_COMPLAINTS && complaints.add(who + what.getMessage())) {
+            LOG.log(level, who + ": " + what.getMessage());
+        }
+    }
+
+    void ended(Dispatch d, End how, int seenUse, double settled, double[] load) {
+        if (d.ended) {
+            return;
+        }
+        d.ended = true;
+        if (d.cap != null) {
+            d.cap.cancel();
+        }
+        Exchange e = d.exchange;
+        if (how == End.GOOD) {
+            clients.over(e);
+        }
+        in.ended(e, d.no, how, now - d.at, e.over, seenUse, settled, load);
+    }
+
+    @Override
+    public void dispatch(Req req, Srv srv, double cap) {
+        Exchange e = (Exchange) req;
+        Dispatch d = new Dispatch(e, e.dispatches.size(), now);
+        e.dispatches.add(d);
+        double left = e.expires - now;
+        double wait = cap == 0 ? left : Math.min(cap, left);
+        if (e.over || wait <= 0 || d.no >= mostDispatches) {
+            loop.due(() -> ended(d, e.over || d.no >= mostDispatches ? End.VOID : End.TIMED_OUT, 0, 0, null));
+            return;
+        }
+        servers.carry(d, (Backend) srv, (long) Math.ceil(wait));
+        d.cap = loop.after(wait, () -> d.link.end(Ending.SILENT));
+    }
+
+    @Override
+    public void cancel(Req req, int hop) {
+        Dispatch d = ((Exchange) req).dispatches.get(hop);
+        loop.due(() -> {
+            if (!d.ended && d.link != null) {
+                d.link.end(Ending.DROPPED);
+            }
+        });
+    }
+
+    @Override
+    public void deny(Req req, double retryAfter) {
+        clients.deny((Exchange) req, (long) Math.ceil(retryAfter));
+    }
+
+    @Override
+    public void abort(Req req) {
+        clients.abort((Exchange) req);
+    }
+
+    @Override
+    public void alarm(long token, double wait) {
+        loop.after(wait, () -> in.alarm(token));
+    }
+
+    @Override
+    public void probe(Srv srv) {
+        // no probe stands in this protocol
+        loop.due(() -> in.probed(srv, End.VOID, 0, null));
+    }
+
+    @Override
+    public void closeIdle(Srv srv) {
+        servers.retire((Backend) srv);
+    }
+
+    @Override
+    public void tell(int peer, String text) {
+        peers.tell(peer, text);
+    }
+
+    @Override
+    public void add(long name, double amount, double keep) {
+        counter.add(name, amount, keep);
+    }
+
+    @Override
+    public void watch(boolean on) {
+        watch.want(on);
+    }
+
+    @Override
+    public void fetchList() {
+        watch.fetch();
+    }
+
+    @Override
+    public void log(String text) {
+        LOG.log(Level.INFO, text);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/routing/Ends.java
@@ -0,0 +1,24 @@
+package tinford.routing;
+
+import tinford.api.End;
+import tinford.transport.Ending;
+
+/** What the end of a connection means to what was in it; the one place that says so. */
+final class Ends {
+    private Ends() {}
+
+    /** @param left the command had left to its last byte: only then can it have run */
+    static End ofDispatch(Ending how, boolean left) {
+        return switch (how) {
+            case REFUSED, NEVER_UP, NO_ROOM -> End.UNREACHABLE;
+            case BROKEN, ENDED, MALFORMED, OVERFULL, RETIRED -> left ? End.BROKEN : End.UNREACHABLE;
+            case SILENT -> left ? End.TIMED_OUT : End.UNREACHABLE;
+            case DROPPED -> left ? End.CANCELLED : End.VOID;
+        };
+    }
+
+    /** To a call on the counter, what may have been added is all one, however it came to be unknown. */
+    static End ofCall(Ending how, boolean left) {
+        return ofDispatch(how, left).mayHaveRun ? End.TIMED_OUT : End.UNREACHABLE;
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/routing/Servers.java
@@ -0,0 +1,131 @@
+package tinford.routing;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import tinford.api.Srv;
+import tinford.handed.Fields;
+import tinford.protocol.Resp;
+import tinford.protocol.Usage;
+import tinford.transport.Ending;
+
+/** The servers of the list, and the connections to them. */
+public final class Servers {
+    final Desk desk;
+    final Resp resp = new Resp();
+    private final Map<String, Backend> backends = new LinkedHashMap<>();
+    private final double connectWithin;
+    private final double idleMost;
+    private final int most;
+    private final List<String> loadNames;
+    private int links;
+
+    /**
+     * @param idleMost how long a connection may stand idle before the server closes it
+     * @param most connections to all servers together
+     */
+    public Servers(Desk desk, double connectWithin, double idleMost, int most, List<String> loadNames) {
+        this.desk = desk;
+        this.connectWithin = connectWithin;
+        this.idleMost = idleMost;
+        this.most = most;
+        this.loadNames = loadNames;
+        sweep();
+    }
+
+    /** A list in discovery's form, as the decisions take it. */
+    public void list(Fields list) {
+        List<Srv> entries = new ArrayList<>();
+        for (Fields e : list.parts("hosts")) {
+            Backend b = backends.computeIfAbsent(e.text("host"), Backend::new);
+            InetSocketAddress dial = Addresses.of(e, "dial");
+            if (!dial.equals(b.dial)) {
+                retire(b);
+                b.dial = dial;
+            }
+            b.zone = e.text("site");
+            b.cell = (int) e.whole("block", 0);
+            b.size = e.real("share", 1);
+            b.born = e.real("born_ms", 0);
+            b.state = switch (e.text("health")) {
+                case "ready" -> Srv.State.UP;
+                case "draining" -> Srv.State.DRAINING;
+                case "gone" -> Srv.State.REMOVED;
+                default -> throw e.bad("health", "ready, draining or gone");
+            };
+            entries.add(b);
+        }
+        boolean whole = list.flag("whole");
+        desk.in.listed(entries, whole);
+        for (Backend b : new ArrayList<>(backends.values())) {
+            if (b.state != Srv.State.UP || whole && !entries.contains(b)) {
+                retire(b);
+            }
+            if (b.state == Srv.State.REMOVED || whole && !entries.contains(b)) {
+                backends.remove(b.id);
+            }
+        }
+    }
+
+    void carry(Dispatch d, Backend b, long patience) {
+        ServerLink link = b.idle.pollFirst();
+        if (link == null) {
+            if (links >= most) {
+                makeRoom();
+            }
+            link = new ServerLink(desk, this, b);
+            links++;
+            b.links++;
+            link.carry(d, patience);
+            link.connect(links > most ? 0 : connectWithin);
+        } else {
+            link.carry(d, patience);
+        }
+    }
+
+    private void makeRoom() {
+        for (Backend b : backends.values()) {
+            if (!b.idle.isEmpty()) {
+                b.idle.peekLast().end(Ending.RETIRED);
+                return;
+            }
+        }
+    }
+
+    void free(ServerLink link) {
+        if (link.backend.state == Srv.State.UP) {
+            link.idleSince = desk.now;
+            link.backend.idle.addFirst(link);
+        } else {
+            link.end(Ending.RETIRED);
+        }
+    }
+
+    void gone(ServerLink link) {
+        links--;
+        link.backend.links--;
+        link.backend.idle.remove(link);
+    }
+
+    void retire(Backend b) {
+        while (!b.idle.isEmpty()) {
+            b.idle.peekFirst().end(Ending.RETIRED);
+        }
+    }
+
+    // guards against a command that crosses the server's own close of an idle connection
+    private void sweep() {
+        for (Backend b : backends.values()) {
+            while (!b.idle.isEmpty() && desk.now - b.idle.peekLast().idleSince > 0.75 * idleMost) {
+                b.idle.peekLast().end(Ending.RETIRED);
+            }
+        }
+        desk.loop.after(idleMost / 16, this::sweep);
+    }
+
+    double[] report(String load) {
+        return loadNames.isEmpty() ? null : Usage.report(load, loadNames);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/transport/Link.java
@@ -0,0 +1,189 @@
+package tinford.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+
+/** One TCP connection, accepted or opened from here. Its owner extends it; all callbacks come within a turn. */
+public abstract class Link implements Loop.Due {
+    private static final OptionMap PLAIN = OptionMap.create(Options.TCP_NODELAY, true);
+    protected final Loop loop;
+    protected final Buf buf = new Buf();
+    private final int mostUnread;
+    private final int mostUnwritten;
+    private StreamConnection connection;
+    private IoFuture<StreamConnection> opening;
+    private Loop.Timer patience;
+    private Ending failing;
+    private boolean noted, opened, came, dirty, holds, over;
+
+    /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
+    protected Link(Loop loop, int mostUnread, int mostUnwritten) {
+        this.loop = loop;
+        this.mostUnread = mostUnread;
+        this.mostUnwritten = mostUnwritten;
+    }
+
+    /** The connection that was opened from here is up. */
+    protected abstract void opened();
+
+    /** Bytes came; what is not taken is kept. */
+    protected abstract void received();
+
+    /** The last callback of every link. */
+    protected abstract void ended(Ending how);
+
+    public final boolean up() {
+        return connection != null && !over;
+    }
+
+    public final boolean over() {
+        return over;
+    }
+
+    /** What was put for writing has left for the other side, to the last byte. */
+    public final boolean allWritten() {
+        return connection != null && buf.unwritten() == 0;
+    }
+
+    protected final void open(InetSocketAddress to, double within) {
+        holds = loop.takeDescriptor();
+        if (!holds) {
+            fail(Ending.NO_ROOM);
+            return;
+        }
+        patience = loop.after(within, () -> end(Ending.NEVER_UP));
+        opening = loop.thread.openStreamConnection(to, this::up, PLAIN);
+        opening.addNotifier((future, nothing) -> {
+            if (future.getStatus() == IoFuture.Status.FAILED) {
+                fail(Ending.REFUSED);
+            }
+        }, null);
+    }
+
+    private void up(StreamConnection c) {
+        if (over) {
+            IoUtils.safeClose(c);
+            return;
+        }
+        patience.cancel();
+        opened = true;
+        adopt(c);
+        note();
+    }
+
+    final void adopt(StreamConnection c) {
+        connection = c;
+        c.getSourceChannel().setReadListener((ChannelListener<org.xnio.conduits.ConduitStreamSourceChannel>) ch -> readable());
+        c.getSinkChannel().setWriteListener(ch -> writable());
+        c.getSourceChannel().resumeReads();
+    }
+
+    final void holdsDescriptor() {
+        holds = true;
+    }
+
+    private void readable() {
+        try {
+            int n = buf.read(connection.getSourceChannel().getConduit());
+            if (n > 0) {
+                came = true;
+                note();
+            } else if (n < 0) {
+                fail(Ending.ENDED);
+            }
+        } catch (IOException e) {
+            connection.getSourceChannel().suspendReads();
+            fail(Ending.BROKEN);
+        }
+    }
+
+    private void writable() {
+        connection.getSinkChannel().suspendWrites();
+        flush();
+    }
+
+    /** What was put into the buffer leaves at the end of this turn. */
+    protected final void send() {
+        if (!dirty && !over) {
+            dirty = true;
+            loop.unflushed(this);
+        }
+    }
+
+    final void flush() {
+        dirty = false;
+        if (connection == null || over || buf.unwritten() == 0) {
+            return;
+        }
+        try {
+            buf.write(connection.getSinkChannel().getConduit());
+            if (buf.unwritten() > mostUnwritten) {
+                fail(Ending.OVERFULL);
+            } else if (buf.unwritten() > 0) {
+                connection.getSinkChannel().resumeWrites();
+            }
+        } catch (IOException e) {
+            fail(Ending.BROKEN);
+        }
+    }
+
+    private void fail(Ending how) {
+        if (failing == null) {
+            failing = how;
+        }
+        note();
+    }
+
+    private void note() {
+        if (!noted && !over) {
+            noted = true;
+            loop.due(this);
+        }
+    }
+
+    @Override
+    public final void play() {
+        noted = false;
+        if (opened && !over) {
+            opened = false;
+            opened();
+            send();
+        }
+        if (came && !over) {
+            came = false;
+            received();
+            if (!over && buf.unread() > mostUnread) {
+                end(Ending.OVERFULL);
+            }
+        }
+        if (failing != null) {
+            end(failing);
+        }
+    }
+
+    /** Closes it, whatever state it is in; the first call counts. */
+    public final void end(Ending how) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (patience != null) {
+            patience.cancel();
+        }
+        if (connection != null) {
+            IoUtils.safeClose(connection);
+        } else if (opening != null) {
+            opening.cancel();
+        }
+        if (holds) {
+            loop.giveDescriptor();
+        }
+        ended(how);
+    }
+}
--- /dev/null
+++ b/src/main/java/tinford/transport/Loop.java
@@ -0,0 +1,166 @@
+package tinford.transport;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * The one I/O thread and its wake-ups. What comes in at a wake-up is only noted; once all of it is in, one turn plays
+ * it to its owners in order of arrival, and then everything that was written meanwhile leaves.
+ */
+public final class Loop {
+    private static final System.Logger LOG = System.getLogger("tinford.transport");
+
+    /** Something that came in and waits to be played. */
+    public interface Due {
+        void play();
+    }
+
+    /** One turn: plays all that is due by calling {@link #playAll}. */
+    public interface Turn {
+        void run();
+    }
+
+    final XnioWorker worker;
+    final XnioIoThread thread;
+    private final Turn turn;
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private List<Due> due = new ArrayList<>();
+    private List<Due> playing = new ArrayList<>();
+    private final List<Link> unflushed = new ArrayList<>();
+    private XnioExecutor.Key armed;
+    private long armedFor = Long.MAX_VALUE;
+    private boolean called;
+    private int descriptors;
+
+    /** A call at a time to come. */
+    public static final class Timer implements Comparable<Timer> {
+        private final long at;
+        private Due then;
+
+        private Timer(long at, Due then) {
+            this.at = at;
+            this.then = then;
+        }
+
+        public void cancel() {
+            then = null;
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            return Long.compare(at, other.at);
+        }
+    }
+
+    /** @param descriptors how many connections there may be, over all parties */
+    public Loop(Turn turn, int descriptors) throws IOException {
+        this.turn = turn;
+        this.descriptors = descriptors;
+        worker = Xnio.getInstance("nio").createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
+                .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 0)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.STACK_SIZE, 256L << 10).getMap());
+        thread = worker.getIoThread();
+    }
+
+    /** From any thread: runs this on the I/O thread. */
+    public void enter(Due first) {
+        thread.execute(() -> due(first));
+    }
+
+    public void due(Due what) {
+        due.add(what);
+        call();
+    }
+
+    public Timer after(double ms, Due then) {
+        Timer t = new Timer(System.nanoTime() + (long) (Math.max(0, ms) * 1e6), then);
+        timers.add(t);
+        call(); // only the end of a turn sets the alarm
+        return t;
+    }
+
+    /** Plays the timers that have run out, then what came in, each once. */
+    public void playAll() {
+        long now = System.nanoTime();
+        while (!timers.isEmpty() && (timers.peek().then == null || timers.peek().at <= now)) {
+            Due then = timers.poll().then;
+            if (then != null) {
+                playing.add(then);
+            }
+        }
+        playing.addAll(due);
+        due.clear();
+        for (Due d : playing) {
+            d.play();
+        }
+        playing.clear();
+    }
+
+    boolean takeDescriptor() {
+        return descriptors > 0 && descriptors-- > 0;
+    }
+
+    void giveDescriptor() {
+        descriptors++;
+    }
+
+    void unflushed(Link link) {
+        unflushed.add(link);
+        call();
+    }
+
+    private void call() {
+        if (!called) {
+            called = true;
+            thread.execute(this::turn);
+        }
+    }
+
+    private void turn() {
+        try {
+            turn.run();
+        } catch (RuntimeException e) {
+            // guards the other connections against a fault in the handling of one
+            LOG.log(Level.ERROR, "a turn was cut short", e);
+            playing.clear();
+        }
+        for (int i = 0; i < unflushed.size(); i++) {
+            unflushed.get(i).flush();
+        }
+        unflushed.clear();
+        called = false;
+        if (!due.isEmpty()) {
+            call();
+        }
+        arm();
+    }
+
+    private void arm() {
+        while (!timers.isEmpty() && timers.peek().then == null) {
+            timers.poll();
+        }
+        if (timers.isEmpty() || armedFor <= timers.peek().at) {
+            return;
+        }
+        if (armed != null) {
+            armed.remove();
+        }
+        armedFor = timers.peek().at;
+        long ms = Math.max(0, (armedFor - System.nanoTime() + 999_999) / 1_000_000);
+        armed = thread.executeAfter(() -> {
+            armed = null;
+            armedFor = Long.MAX_VALUE;
+            call();
+        }, ms, TimeUnit.MILLISECONDS);
+    }
+}
