--- a/src/main/java/tinford/program/Serve.java
+++ b/src/main/java/tinford/program/Serve.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import tinford.api.Gateway;
 import tinford.api.Limits;
 import tinford.handed.BadInput;
@@ -29,6 +30,9 @@
     /** Descriptors that are no connections: the jar, the selectors, the listening sockets, the logs. */
     private static final int OWN_DESCRIPTORS = 64;
 
+    /** Clients and connections that come this long after SIGTERM are none the wiser. */
+    private static final double CLIENTS_COME = 450;
+
     private Serve() {}
 
     /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
@@ -78,6 +82,19 @@
                 watch.want(true);
             }
         });
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(desk, clients), "leave"));
+    }
+
+    /** At SIGTERM: goes on as before while clients still come, then lets them go, and ends when all is answered. */
+    private static void leave(Desk desk, Clients clients) {
+        CountDownLatch left = new CountDownLatch(1);
+        desk.loop.enter(() -> desk.loop.after(CLIENTS_COME, () -> clients.close(left::countDown)));
+        try {
+            left.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
     }
 
     private static Fields read(JsonFactory json, String path) {
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -1,9 +1,10 @@
 package tinford.routing;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import tinford.protocol.Ask;
 import tinford.protocol.Malformed;
 import tinford.protocol.Resp;
-import tinford.transport.Buf;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 
@@ -13,7 +14,7 @@
     private final Clients clients;
     private Slot first;
     private Slot last;
-    private boolean closing;
+    private Ending closing; // once everything is answered
     double lastUse;
 
     ClientLink(Clients clients) {
@@ -33,7 +34,7 @@
         lastUse = clients.desk.now;
         Resp resp = clients.resp;
         try {
-            while (!over() && !closing) {
+            while (!over() && closing != Ending.MALFORMED) {
                 int n = resp.parse(buf.bytes(), buf.from(), buf.to());
                 if (n == 0) {
                     return;
@@ -46,8 +47,8 @@
         } catch (Malformed e) {
             // behind this the stream can't be followed
             say(add(new Slot()), "-ERR " + e.getMessage());
-            closing = true;
-            closeWhenDone();
+            buf.take(buf.unread());
+            close(Ending.MALFORMED);
         }
     }
 
@@ -89,7 +90,7 @@
             buf.put(line).line();
             next();
         } else {
-            s.answer = (line + "\r\n").getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+            s.answer = (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
         }
     }
 
@@ -98,13 +99,11 @@
             buf.put("$").put(n).line().put(b, from, n).line();
             next();
         } else {
-            s.answer = new byte[n + 16];
-            byte[] head = ("$" + n + "\r\n").getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
-            byte[] whole = java.util.Arrays.copyOf(head, head.length + n + 2);
-            System.arraycopy(b, from, whole, head.length, n);
-            whole[whole.length - 2] = '\r';
-            whole[whole.length - 1] = '\n';
-            s.answer = whole;
+            byte[] head = ("$" + n + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+            s.answer = Arrays.copyOf(head, head.length + n + 2);
+            System.arraycopy(b, from, s.answer, head.length, n);
+            s.answer[head.length + n] = '\r';
+            s.answer[head.length + n + 1] = '\n';
         }
     }
 
@@ -113,15 +112,16 @@
             buf.put(first.answer, 0, first.answer.length);
         }
         send();
-        if (closing) {
-            closeWhenDone();
+        if (first == null && closing != null) {
+            finish(closing);
         }
     }
 
-    private void closeWhenDone() {
-        if (first == null) {
-            // the last answer leaves with this turn; the close comes with the next one
-            loop.due(() -> end(Ending.MALFORMED));
+    /** Between reqs: a client sends once more what crosses this. */
+    void close(Ending how) {
+        closing = how;
+        if (idle()) {
+            finish(how);
         }
     }
 
@@ -135,8 +135,4 @@
         }
         first = null;
     }
-
-    Buf buf() {
-        return buf;
-    }
 }
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -25,6 +26,7 @@
     private final int mostLinks;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private Door door;
+    private Runnable closed;
     private int open;
     private long held;
 
@@ -61,7 +63,7 @@
             }
         }
         if (oldest != null) {
-            oldest.end(Ending.RETIRED);
+            oldest.close(Ending.RETIRED);
         }
     }
 
@@ -118,22 +120,20 @@
 
     void gone(ClientLink link) {
         links.remove(link);
-    }
-
-    /** From now on connections are closed between reqs. */
-    void retireIdle() {
-        for (ClientLink l : new java.util.ArrayList<>(links)) {
-            if (l.idle() && l.buf().unwritten() == 0) {
-                l.end(Ending.RETIRED);
-            }
+        if (closed != null && links.isEmpty()) {
+            closed.run();
         }
     }
 
-    void stopListening() {
+    /** Nobody new is let in, and each connection ends once all that came through it is answered. */
+    public void close(Runnable then) {
         door.close();
-    }
-
-    int links() {
-        return links.size();
+        closed = then;
+        for (ClientLink l : new ArrayList<>(links)) {
+            l.close(Ending.RETIRED);
+        }
+        if (links.isEmpty()) {
+            then.run();
+        }
     }
 }
--- a/src/main/java/tinford/transport/Link.java
+++ b/src/main/java/tinford/transport/Link.java
@@ -11,6 +11,7 @@
 
 /** One TCP connection, accepted or opened from here. Its owner extends it; all callbacks come within a turn. */
 public abstract class Link implements Loop.Due {
+    private static final double LAST_BYTES = 1000; // how long the other side may take to end its sending too
     private static final OptionMap PLAIN = OptionMap.create(Options.TCP_NODELAY, true);
     protected final Loop loop;
     protected final Buf buf = new Buf();
@@ -20,6 +21,7 @@
     private IoFuture<StreamConnection> opening;
     private Loop.Timer patience;
     private Ending failing;
+    private Ending finishing;
     private boolean noted, opened, came, dirty, holds, over;
 
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
@@ -118,7 +120,7 @@
 
     final void flush() {
         dirty = false;
-        if (connection == null || over || buf.unwritten() == 0) {
+        if (connection == null || over || buf.unwritten() == 0 && finishing == null) {
             return;
         }
         try {
@@ -127,6 +129,8 @@
                 fail(Ending.OVERFULL);
             } else if (buf.unwritten() > 0) {
                 connection.getSinkChannel().resumeWrites();
+            } else if (finishing != null) {
+                connection.getSinkChannel().shutdownWrites();
             }
         } catch (IOException e) {
             fail(Ending.BROKEN);
@@ -157,16 +161,36 @@
         }
         if (came && !over) {
             came = false;
-            received();
+            if (finishing != null) {
+                buf.take(buf.unread());
+            } else {
+                received();
+            }
             if (!over && buf.unread() > mostUnread) {
                 end(Ending.OVERFULL);
             }
         }
         if (failing != null) {
-            end(failing);
+            end(finishing != null ? finishing : failing);
         }
     }
 
+    /**
+     * Ends the sending once all is written, and the connection when the other side has done the same. A close at once
+     * could be a reset, before which the last answer would be lost.
+     */
+    protected final void finish(Ending how) {
+        if (!over && finishing == null) {
+            finishing = how;
+            patience = loop.after(LAST_BYTES, () -> end(how));
+            send();
+        }
+    }
+
+    protected final boolean finishing() {
+        return finishing != null;
+    }
+
     /** Closes it, whatever state it is in; the first call counts. */
     public final void end(Ending how) {
         if (over) {
