Socket tests; one bound for all buffers; a dead counter connection is given up without a next call

Tests start the program against stand-ins on loopback: order of answers, 64 KiB in pieces, ends of server connections, a counter silent, busy, garbled, gone or dead, the watch taken up again, drains, SIGTERM, bad commands, bad starts. They showed at fault: Counter looked whether its connection is dead only when a further call timed out (lookAlive in giveUp). Buffers were bounded each, not together: 500 slow readers could have held 500 MB; now a quarter of the heap for all. A req's client timeout counts from the last look at the sockets, the earliest moment at which it can have been sent.

--- a/src/main/java/tinford/program/Serve.java
+++ b/src/main/java/tinford/program/Serve.java
@@ -58,11 +58,12 @@
         Fields bounds = set.part("Limits");
         int sockets = (int) given.part("limits").whole("sockets");
         int most = sockets - OWN_DESCRIPTORS;
-        Desk desk = new Desk(Handed.make(maker, seed(given), set), limits.maxDispatches, most);
+        long bytes = Runtime.getRuntime().maxMemory() / 4; // for buffers, and as much for reqs: half is left
+        Desk desk = new Desk(Handed.make(maker, seed(given), set), limits.maxDispatches, most, bytes);
         double connectWithin = bounds.millis("ConnectTimeoutUs");
         Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most / 2, loadNames(set));
         Clients clients = new Clients(desk, Handed.frontends(set), Handed.plans(set),
-                (int) bounds.whole("OpenCap", 20_000), most / 2 - 8);
+                (int) bounds.whole("OpenCap", 20_000), bytes, most / 2 - 8);
         Counter counter = Handed.counter(set).present
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout) : null;
         Fields known = given.part("known");
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -90,7 +90,7 @@
             buf.put(line).line();
             next();
         } else {
-            s.answer = (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+            keep(s, (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
         }
     }
 
@@ -100,16 +100,23 @@
             next();
         } else {
             byte[] head = ("$" + n + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
-            s.answer = Arrays.copyOf(head, head.length + n + 2);
-            System.arraycopy(b, from, s.answer, head.length, n);
-            s.answer[head.length + n] = '\r';
-            s.answer[head.length + n + 1] = '\n';
+            byte[] whole = Arrays.copyOf(head, head.length + n + 2);
+            System.arraycopy(b, from, whole, head.length, n);
+            whole[head.length + n] = '\r';
+            whole[head.length + n + 1] = '\n';
+            keep(s, whole);
         }
     }
 
+    private void keep(Slot s, byte[] answer) {
+        s.answer = answer;
+        clients.held(answer.length);
+    }
+
     private void next() {
         for (first = first.next; first != null && first.answer != null; first = first.next) {
             buf.put(first.answer, 0, first.answer.length);
+            clients.held(-first.answer.length);
         }
         send();
         if (first == null && closing != null) {
@@ -129,7 +136,9 @@
     protected void ended(Ending how) {
         clients.gone(this);
         for (Slot s = first; s != null; s = s.next) {
-            if (s.exchange != null && !s.exchange.over) {
+            if (s.answer != null) {
+                clients.held(-s.answer.length);
+            } else if (s.exchange != null && !s.exchange.over) {
                 clients.left(s.exchange);
             }
         }
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -17,26 +17,28 @@
 
 /** The clients' side: their connections, and the reqs that are open. */
 public final class Clients {
-    private static final int MOST_HELD = 24 << 20; // bytes of commands that wait for an answer
     final Desk desk;
     final Resp resp = new Resp();
     private final Map<String, Frontend> frontends;
     private final Map<String, Plan> plans;
     private final int mostOpen;
     private final int mostLinks;
+    private final long mostHeld;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private Door door;
     private Runnable closed;
     private int open;
     private long held;
 
-    /** @param mostOpen reqs at once, and {@code mostLinks} connections */
-    public Clients(Desk desk, Map<String, Frontend> frontends, Map<String, Plan> plans, int mostOpen, int mostLinks) {
+    /** @param mostOpen reqs at once, of {@code mostHeld} bytes together, and {@code mostLinks} connections */
+    public Clients(Desk desk, Map<String, Frontend> frontends, Map<String, Plan> plans, int mostOpen, long mostHeld,
+            int mostLinks) {
         this.desk = desk;
         this.frontends = frontends;
         this.plans = plans;
         this.mostOpen = mostOpen;
         this.mostLinks = mostLinks;
+        this.mostHeld = mostHeld;
     }
 
     public void listen(InetSocketAddress at) throws IOException {
@@ -77,13 +79,13 @@
             throw new Malformed("t to be one of " + plans.keySet());
         }
         return new Exchange(from, ask, frontend, new Customer(ask.customer, plan, ask.width, ask.first),
-                desk.now + ask.patience);
+                desk.looked + ask.patience);
     }
 
     void take(Exchange e) {
         open++;
         held += e.ask.length();
-        if (open > mostOpen || held > MOST_HELD) {
+        if (open > mostOpen || held > mostHeld) {
             deny(e, 0);
         } else {
             desk.in.arrived(e);
@@ -118,6 +120,11 @@
         return true;
     }
 
+    /** Answers that wait for those before them count as well. */
+    void held(int bytes) {
+        held += bytes;
+    }
+
     void gone(ClientLink link) {
         links.remove(link);
         if (closed != null && links.isEmpty()) {
--- a/src/main/java/tinford/routing/Counter.java
+++ b/src/main/java/tinford/routing/Counter.java
@@ -70,8 +70,8 @@
     }
 
     private void watch() {
-        watch = waiting.isEmpty() ? null
-                : desk.loop.after(waiting.peek().at + timeout - desk.now, this::giveUp);
+        double next = !waiting.isEmpty() ? waiting.peek().at + timeout : wire != null ? wire.deadAt() : Double.NaN;
+        watch = Double.isNaN(next) ? null : desk.loop.after(next - desk.now, this::giveUp);
     }
 
     /** The oldest call has waited long enough; one that never left was surely not added. */
@@ -80,10 +80,11 @@
             Call c = waiting.peek();
             tell(c, Ends.ofCall(Ending.SILENT, !unsent.remove(c)), 0);
         }
-        watch();
-        if (wire != null) {
-            wire.lookAlive();
+        // guards against a connection whose other machine is gone without a word: a new one finds out
+        if (wire != null && desk.now >= wire.deadAt() - 0.5) {
+            wire.end(Ending.SILENT);
         }
+        watch();
     }
 
     private void tell(Call c, End how, double total) {
@@ -116,11 +117,9 @@
             send();
         }
 
-        // guards against a connection whose other machine is gone without a word: a new one finds out
-        void lookAlive() {
-            if (!sent.isEmpty() && desk.now - sent.peek().at > connectWithin + timeout) {
-                end(Ending.SILENT);
-            }
+        /** Nothing came for a call by then: not a number when none is out. */
+        double deadAt() {
+            return sent.isEmpty() ? Double.NaN : sent.peek().at + timeout + connectWithin;
         }
 
         @Override
--- a/src/main/java/tinford/routing/Desk.java
+++ b/src/main/java/tinford/routing/Desk.java
@@ -31,11 +31,14 @@
     /** Of the present round. */
     Inbox in;
     double now = clock.now();
+    /** When the sockets were last looked at: what came in since was sent no earlier. */
+    double looked = now;
 
-    public Desk(Gateway gateway, int mostDispatches, int descriptors) throws IOException {
+    /** @param bytes what the buffers of all connections may take */
+    public Desk(Gateway gateway, int mostDispatches, int descriptors, long bytes) throws IOException {
         this.gateway = gateway;
         this.mostDispatches = mostDispatches;
-        this.loop = new Loop(this::turn, descriptors);
+        this.loop = new Loop(this::turn, descriptors, bytes);
     }
 
     public void seat(Clients clients, Servers servers, Counter counter, Watch watch, Peers peers) {
@@ -52,6 +55,7 @@
     }
 
     private void turn() {
+        looked = now;
         now = clock.now();
         gateway.round(now, inbox -> {
             in = inbox;
--- a/src/main/java/tinford/transport/Buf.java
+++ b/src/main/java/tinford/transport/Buf.java
@@ -14,10 +14,15 @@
     private static final int LEAST = 512;
     private static final int READ = 4096; // room made for one read
     private static final int KEPT = 16 << 10; // an empty array above this goes back
+    private final Room room;
     private byte[] bytes = new byte[0];
     private ByteBuffer view = ByteBuffer.wrap(bytes);
     private int inFrom, inTo, outFrom, outTo;
 
+    public Buf(Room room) {
+        this.room = room;
+    }
+
     /** What came in lies in here, from {@link #from} to {@link #to}; any write or read may move it. */
     public byte[] bytes() {
         return bytes;
@@ -73,7 +78,7 @@
     }
 
     public Buf put(byte[] src, int from, int n) {
-        room(n);
+        fit(n);
         System.arraycopy(src, from, bytes, outTo, n);
         outTo += n;
         return this;
@@ -89,13 +94,13 @@
     }
 
     public Buf line() {
-        room(2);
+        fit(2);
         bytes[outTo++] = '\r';
         bytes[outTo++] = '\n';
         return this;
     }
 
-    private void room(int n) {
+    private void fit(int n) {
         if (unwritten() == 0) {
             outFrom = outTo = inTo;
         }
@@ -129,13 +134,19 @@
 
     private void shrink() {
         if (bytes.length > KEPT && unread() == 0 && unwritten() == 0) {
-            adopt(new byte[0]);
-            inFrom = inTo = outFrom = outTo = 0;
+            free();
         }
     }
 
+    void free() {
+        adopt(new byte[0]);
+        inFrom = inTo = outFrom = outTo = 0;
+    }
+
     private void adopt(byte[] to) {
         if (to != bytes) {
+            room.give(bytes.length);
+            room.take(to.length);
             bytes = to;
             view = ByteBuffer.wrap(to);
         }
--- a/src/main/java/tinford/transport/Link.java
+++ b/src/main/java/tinford/transport/Link.java
@@ -14,7 +14,7 @@
     private static final double LAST_BYTES = 1000; // how long the other side may take to end its sending too
     private static final OptionMap PLAIN = OptionMap.create(Options.TCP_NODELAY, true);
     protected final Loop loop;
-    protected final Buf buf = new Buf();
+    protected final Buf buf;
     private final int mostUnread;
     private final int mostUnwritten;
     private StreamConnection connection;
@@ -27,6 +27,7 @@
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
     protected Link(Loop loop, int mostUnread, int mostUnwritten) {
         this.loop = loop;
+        this.buf = new Buf(loop.room);
         this.mostUnread = mostUnread;
         this.mostUnwritten = mostUnwritten;
     }
@@ -125,7 +126,7 @@
         }
         try {
             buf.write(connection.getSinkChannel().getConduit());
-            if (buf.unwritten() > mostUnwritten) {
+            if (buf.unwritten() > mostUnwritten || loop.room.overdrawn() && buf.unwritten() > 0) {
                 fail(Ending.OVERFULL);
             } else if (buf.unwritten() > 0) {
                 connection.getSinkChannel().resumeWrites();
@@ -166,7 +167,7 @@
             } else {
                 received();
             }
-            if (!over && buf.unread() > mostUnread) {
+            if (!over && (buf.unread() > mostUnread || loop.room.overdrawn() && buf.unread() > 0)) {
                 end(Ending.OVERFULL);
             }
         }
@@ -209,5 +210,6 @@
             loop.giveDescriptor();
         }
         ended(how);
+        buf.free();
     }
 }
--- a/src/main/java/tinford/transport/Loop.java
+++ b/src/main/java/tinford/transport/Loop.java
@@ -32,6 +32,8 @@
 
     final XnioWorker worker;
     final XnioIoThread thread;
+    /** For the buffers of all connections. */
+    final Room room;
     private final Turn turn;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private List<Due> due = new ArrayList<>();
@@ -62,9 +64,13 @@
         }
     }
 
-    /** @param descriptors how many connections there may be, over all parties */
-    public Loop(Turn turn, int descriptors) throws IOException {
+    /**
+     * @param descriptors how many connections there may be, over all parties
+     * @param bytes what all their buffers may take
+     */
+    public Loop(Turn turn, int descriptors, long bytes) throws IOException {
         this.turn = turn;
+        this.room = new Room(bytes);
         this.descriptors = descriptors;
         worker = Xnio.getInstance("nio").createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 0)
@@ -106,6 +112,10 @@
         playing.clear();
     }
 
+    public void close() {
+        worker.shutdownNow();
+    }
+
     boolean takeDescriptor() {
         return descriptors > 0 && descriptors-- > 0;
     }
--- a/src/test/java/tinford/Bed.java
+++ b/src/test/java/tinford/Bed.java
@@ -8,7 +8,33 @@
 import tinford.api.*;
 
 /** A gateway with its decisions written down as text, one line each; time moves only when told. */
-final class Bed implements Writer {
+public final class Bed implements Writer {
+    /** Hears everything and does nothing. */
+    public static class Deaf implements Inbox {
+        @Override public void started() { }
+
+        @Override public void listed(List<Srv> entries, boolean whole) { }
+
+        @Override public void listRefused() { }
+
+        @Override public void arrived(Req req) { }
+
+        @Override public void began(Req req, int hop) { }
+
+        @Override public void ended(Req req, int hop, End how, double took, boolean closed, int seenUse, double settled,
+                double[] load) { }
+
+        @Override public void left(Req req) { }
+
+        @Override public void alarm(long token) { }
+
+        @Override public void probed(Srv srv, End how, double took, double[] load) { }
+
+        @Override public void heard(int peer, String text) { }
+
+        @Override public void counted(long name, End how, double took, double total) { }
+    }
+
     static final Rules RULES = new Rules(0.3, 10_000, 2, 1000);
     final List<String> said = new ArrayList<>();
     final Map<String, Srv> servers = new HashMap<>();
--- /dev/null
+++ b/src/test/java/tinford/program/SocketTest.java
@@ -0,0 +1,567 @@
+package tinford.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Starts the program and speaks to it over loopback; what stands round it is played by the test, step by step. */
+public class SocketTest {
+    private static final int PATIENCE = 20_000; // nothing here takes as long: it only ends a test that hangs
+    private final List<AutoCloseable> open = new CopyOnWriteArrayList<>();
+    private ServerSocket discovery;
+    private ServerSocket counter;
+    private ServerSocket[] servers;
+    private int port;
+    private Path config;
+    private Path log;
+    private Process gateway;
+
+    /** One side of a connection, read value by value. */
+    private final class Talk {
+        final Socket socket;
+        final InputStream in;
+
+        Talk(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(PATIENCE);
+            socket.setTcpNoDelay(true);
+            in = new BufferedInputStream(socket.getInputStream());
+            open.add(socket);
+        }
+
+        Talk say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        /** A line without its end, or null at the end of the connection. */
+        String line() throws IOException {
+            StringBuilder s = new StringBuilder();
+            try {
+                for (int c = in.read(); c != '\n'; c = in.read()) {
+                    if (c < 0) {
+                        return null;
+                    }
+                    s.append((char) c);
+                }
+            } catch (java.net.SocketException e) {
+                return null; // a reset is an end as well
+            }
+            return s.substring(0, s.length() - 1);
+        }
+
+        /** A value: the text of a bulk string, the words of an array with blanks between, or the line as it is. */
+        String hear() throws IOException {
+            String head = line();
+            if (head == null || head.isEmpty() || head.equals("$-1")) {
+                return head;
+            }
+            int n = head.charAt(0) == '*' || head.charAt(0) == '$' ? Integer.parseInt(head.substring(1)) : 0;
+            if (head.charAt(0) == '$') {
+                String text = new String(in.readNBytes(n), StandardCharsets.ISO_8859_1);
+                in.readNBytes(2);
+                return text;
+            }
+            if (head.charAt(0) != '*') {
+                return head;
+            }
+            List<String> words = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                words.add(hear());
+            }
+            return String.join(" ", words);
+        }
+    }
+
+    private static String command(String... words) {
+        StringBuilder s = new StringBuilder("*" + words.length + "\r\n");
+        for (String w : words) {
+            s.append("$").append(w.length()).append("\r\n").append(w).append("\r\n");
+        }
+        return s.toString();
+    }
+
+    private static String id(int n) {
+        return String.format("%016x", n);
+    }
+
+    private static String terms(String frontend, String more) {
+        return "c=" + frontend + ",t=free,d=4000,units=1,spread=1,first=0" + more;
+    }
+
+    /** Of a plan with no quota, so that the counter is not asked. */
+    private static String ask(int n) {
+        return command("Q.ASK", id(7), id(n), terms("read", ""));
+    }
+
+    private static String value(String text) {
+        return "*3\r\n$" + text.length() + "\r\n" + text + "\r\n$-1\r\n$-1\r\n";
+    }
+
+    private ServerSocket door() throws IOException {
+        ServerSocket s = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        s.setSoTimeout(PATIENCE);
+        open.add(s);
+        return s;
+    }
+
+    private static String at(int port) {
+        return "127.0.0.1:" + port;
+    }
+
+    private static String entry(int n, ServerSocket s, String health) {
+        return "{\"host\":\"s" + n + "\",\"dial\":\"" + at(s.getLocalPort()) + "\",\"site\":\"a\",\"class\":\"k\",\"block\":" + n
+                + ",\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0,\"new\":{\"x\":[1]}}";
+    }
+
+    private static String frontend(String name, String effect) {
+        return "{\"Effect\":\"" + effect + "\",\"Group\":\"cell\",\"HardLimitUs\":4000000,\"LateWorth\":0.0,\"Name\":\"" + name
+                + "\",\"OnTimeUs\":" + (name.equals("brief") ? 300000 : 2000000)
+                + ",\"Stream\":false,\"Value\":1.0,\"WindowUs\":3000000}";
+    }
+
+    private static String plan(String name, int rate) {
+        return "{\"CapDepth\":0,\"CapRate\":0,\"ExtraWorth\":0,\"HardSlack\":0,\"MaxOut\":0,\"MostAtOnce\":2.0,\"Name\":\"" + name
+                + "\",\"OverrunCost\":1.0,\"Price\":1.0,\"QuotaRate\":" + rate + "}";
+    }
+
+    private String configuration() {
+        return "{\"name\":\"n0\",\"listen\":\"" + at(port) + "\",\"discovery\":\"" + at(discovery.getLocalPort())
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"peer_listen\":\""
+                + at(port) + "\",\"peers\":[\"" + at(port) + "\"],\"peers_all\":\"" + at(port) + "\",\"counter\":\""
+                + at(counter.getLocalPort()) + "\",\"known\":{\"seq\":41,\"whole\":true,\"hosts\":[" + entry(0, servers[0], "ready")
+                + "]},\"settings\":{\"Az\":\"a\",\"Azs\":[\"a\"],\"Classes\":[" + frontend("read", "read_like") + ","
+                + frontend("write", "non_idempotent") + "," + frontend("brief", "read_like") + "],\"Discovery\":\"automatic\","
+                + "\"Limits\":{\"Cancel\":true,\"ConnectTimeoutUs\":250000,\"KeepaliveUs\":15000000,\"MaxAttempts\":3,"
+                + "\"MaxRetryAfterUs\":2000000,\"MayDuplicate\":false,\"OpenCap\":20000,\"Peers\":true,\"Probes\":false,"
+                + "\"RetryAfter\":true},\"LoadInfo\":{\"Fields\":[],\"How\":\"silent\"},\"MyNumber\":0,\"NInstances\":1,"
+                + "\"ResultMix\":{\"Whole\":1},\"Rules\":{\"ColdFrom\":0.3,\"ColdUs\":10000000,\"FallMultiple\":2,\"FallUs\":1000000},"
+                + "\"Specifics\":{\"CountLimitUs\":200000,\"Counter\":true,\"PostPaid\":true,\"UnitsTop\":6},\"Tariffs\":["
+                + plan("free", 0) + "," + plan("paid", 1) + "],\"TickUs\":4000}}";
+    }
+
+    private Process start(Map<String, String> env) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")), "tinford.Main", "serve");
+        b.environment().putAll(env);
+        return b.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    @BeforeMethod
+    public void prepare() throws IOException {
+        discovery = door();
+        counter = door();
+        servers = new ServerSocket[] {door(), door()};
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        config = Files.createTempFile("tinford", ".json");
+        log = Files.createTempFile("tinford", ".log");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void clear() throws Exception {
+        if (gateway != null) {
+            gateway.destroyForcibly();
+        }
+        for (AutoCloseable c : open) {
+            c.close();
+        }
+        open.clear();
+        Files.delete(config);
+        Files.delete(log);
+    }
+
+    /** Starts the program; the result is a client's connection to it. */
+    private Talk up() throws Exception {
+        Files.writeString(config, configuration());
+        gateway = start(Map.of("ROUTER_CONFIG", config.toString()));
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE);
+        while (true) {
+            try {
+                Talk client = client();
+                assertEquals(client.say(command("PING")).hear(), "+PONG");
+                return client;
+            } catch (IOException e) {
+                assertTrue(gateway.isAlive() && System.nanoTime() < until, "not up: " + Files.readString(log));
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private Talk client() throws IOException {
+        return new Talk(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+
+    private Talk accept(ServerSocket at) throws IOException {
+        return new Talk(at.accept());
+    }
+
+    @Test
+    public void reqGoesThroughUnchangedButForItsTime() throws Exception {
+        Talk client = up();
+        String terms = "c=write,t=free,d=4000,k=5c0f6e1a2b3d4c59,units=2,spread=1,first=0";
+        client.say(command("Q.DO", id(7), id(1), terms, "BODY"));
+        Talk server = accept(servers[0]);
+        String heard = server.hear();
+        assertTrue(heard.matches("Q.DO " + id(7) + " " + id(1)
+                + " c=write,t=free,d=[123]\\d{3},k=5c0f6e1a2b3d4c59,units=2,spread=1,first=0 BODY"), heard);
+        server.say(value("fine"));
+        assertEquals(client.hear(), "fine");
+        client.say(ask(2));
+        server.hear(); // on the connection that is there already
+        server.say(value("again"));
+        assertEquals(client.hear(), "again");
+    }
+
+    @Test
+    public void answersKeepTheOrderOfTheCommands() throws Exception {
+        Talk client = up();
+        client.say(ask(1) + ask(2) + command("PING") + ask(3));
+        Talk[] busy = new Talk[3];
+        String[] ids = new String[3];
+        for (int i = 0; i < 3; i++) {
+            busy[i] = accept(servers[0]);
+            ids[i] = busy[i].hear().split(" ")[2];
+        }
+        for (int i = 2; i >= 0; i--) {
+            busy[i].say(value("for " + ids[i]));
+        }
+        assertEquals(client.hear(), "for " + id(1));
+        assertEquals(client.hear(), "for " + id(2));
+        assertEquals(client.hear(), "+PONG");
+        assertEquals(client.hear(), "for " + id(3));
+    }
+
+    @Test
+    public void longestValuesPassInAnyPieces() throws Exception {
+        Talk client = up();
+        String body = "b\r\n$".repeat(16 << 10);
+        String whole = command("Q.DO", id(7), id(1), terms("write", ""), body);
+        for (int at = 0; at < whole.length(); at += 777) {
+            client.say(whole.substring(at, Math.min(whole.length(), at + 777)));
+        }
+        Talk server = accept(servers[0]);
+        assertTrue(server.hear().endsWith(" " + body));
+        String answer = value("v\r\n".repeat(21_000));
+        for (int at = 0; at < answer.length(); at += 999) {
+            server.say(answer.substring(at, Math.min(answer.length(), at + 999)));
+        }
+        assertEquals(client.hear(), "v\r\n".repeat(21_000));
+    }
+
+    @DataProvider
+    public Object[][] serverAnswers() {
+        return new Object[][] {
+            {"write", "-ERR failed used=37,cost=4\r\n", "-ERR aborted"},
+            {"write", "garbage\r\n", "-ERR aborted"},
+            {"write", "*2\r\n$-1\r\n$-1\r\n", "-ERR aborted"},
+            {"write", "$2\r\nok\r\n", "-ERR aborted"},
+            {"write", "*1\r\n$2\r\nokno", "-ERR aborted"},
+            {"write", null, "-ERR aborted"},
+            {"read", "-ERR failed\r\n", "-BUSY \\d+"},
+            {"read", null, "-BUSY \\d+"},
+        };
+    }
+
+    /** A req that may have run is never denied where a repeat could do harm; null: the server closes. */
+    @Test(dataProvider = "serverAnswers")
+    public void failedReqsEndAsTheirKindAllows(String frontend, String says, String client) throws Exception {
+        Talk c = up();
+        c.say(command(frontend.equals("read") ? "Q.ASK" : "Q.DO", id(7), id(1), terms(frontend, "")));
+        Talk server = accept(servers[0]);
+        server.hear();
+        if (says == null) {
+            server.socket.close();
+        } else {
+            server.say(says);
+        }
+        String heard = c.hear();
+        assertTrue(heard.matches(client), heard);
+        assertEquals(c.say(command("PING")).hear(), "+PONG");
+    }
+
+    @Test
+    public void whatNeverRanGoesToAnotherServer() throws Exception {
+        Talk client = up();
+        Talk watch = accept(discovery);
+        watch.line();
+        servers[0].close();
+        chunk(watch, "{\"seq\":42,\"whole\":false,\"hosts\":[" + entry(1, servers[1], "ready") + "]}\n", true);
+        for (int i = 0; i < 8; i++) {
+            client.say(command("Q.DO", id(7), id(i), terms("write", "")));
+            Talk server = accept(servers[1]);
+            assertTrue(server.hear().contains(id(i)));
+            server.say(value("ok " + i));
+            assertEquals(client.hear(), "ok " + i);
+            server.socket.close();
+        }
+    }
+
+    @Test
+    public void dispatchGivenUpCostsItsOwnConnectionOnly() throws Exception {
+        Talk client = up();
+        client.say(command("Q.ASK", id(7), id(1), terms("brief", "")) + ask(2));
+        Talk first = accept(servers[0]);
+        Talk second = accept(servers[0]);
+        boolean swapped = first.hear().contains(id(2));
+        second.hear();
+        Talk silent = swapped ? second : first;
+        Talk other = swapped ? first : second;
+        assertEquals(silent.hear(), null); // closed by the gateway, some time after the response target
+        other.say(value("still here"));
+        assertTrue(client.hear().startsWith("-BUSY"));
+        assertEquals(client.hear(), "still here");
+    }
+
+    @DataProvider
+    public Object[][] badCommands() {
+        return new Object[][] {
+            {command("GET", "x"), "-ERR expected Q.ASK, Q.DO or PING", true},
+            {command("Q.ASK", id(7), id(1), "c=what,t=free,d=400"), "-ERR expected c to be one of [read, write, brief]", true},
+            {command("Q.ASK", id(7), id(1), "c=read,t=what,d=400"), "-ERR expected t to be one of [free, paid]", true},
+            {command("Q.ASK", id(7), id(1), "c=read"), "-ERR expected the terms c, t and d", true},
+            {"*2\r\n$4\r\nPING\r\n+x\r\n", "-ERR expected an array of bulk strings", false},
+            {"*1\r\n$70000\r\n", "-ERR expected a value of at most 65536 bytes", false},
+            {"PING\r\n", "-ERR expected a RESP2 value", false},
+        };
+    }
+
+    @Test(dataProvider = "badCommands")
+    public void badCommandGetsOneErrorAndHarmsNoOther(String bytes, String error, boolean goesOn) throws Exception {
+        Talk client = up();
+        Talk other = client();
+        client.say(bytes);
+        assertEquals(client.hear(), error);
+        if (goesOn) {
+            assertEquals(client.say(command("PING")).hear(), "+PONG");
+        } else {
+            assertEquals(client.hear(), null);
+        }
+        assertEquals(other.say(command("PING")).hear(), "+PONG");
+    }
+
+    @Test
+    public void clientThatEndsItsSendingHasLeft() throws Exception {
+        Talk client = up();
+        Talk other = client();
+        client.say(ask(1));
+        Talk server = accept(servers[0]);
+        server.hear();
+        client.socket.shutdownOutput();
+        assertEquals(client.hear(), null);
+        server.say(value("late"));
+        other.say(ask(2));
+        server.hear();
+        server.say(value("mine"));
+        assertEquals(other.hear(), "mine");
+    }
+
+    private static String paid(int n) {
+        return command("Q.ASK", id(9), id(n), "c=read,t=paid,d=4000,units=1,spread=1,first=0");
+    }
+
+    @Test
+    public void counterIsReadAndItsTotalDecides() throws Exception {
+        Talk client = up();
+        Talk count = accept(counter);
+        client.say(paid(1));
+        assertTrue(count.hear().matches("CNT.ADD \\d+ 1 \\d+"));
+        count.say("$1\r\n1\r\n");
+        assertTrue(count.hear().matches("CNT.ADD \\d+ 0 \\d+")); // the window before
+        count.say("$1\r\n0\r\n");
+        Talk server = accept(servers[0]);
+        server.hear();
+        server.say(value("one"));
+        assertEquals(client.hear(), "one");
+        client.say(paid(2));
+        count.hear();
+        count.say("$3\r\n400\r\n");
+        assertTrue(client.hear().startsWith("-BUSY "));
+        assertTrue(count.hear().matches("CNT.ADD \\d+ -1 \\d+"));
+    }
+
+    @DataProvider
+    public Object[][] counterTroubles() {
+        return new Object[][] {{"silent"}, {"busy"}, {"garbage"}, {"gone"}};
+    }
+
+    /** Whatever the counter does, a req within the even slice passes, and reqs that need no call never wait. */
+    @Test(dataProvider = "counterTroubles")
+    public void counterInTroubleStopsNobody(String trouble) throws Exception {
+        Talk client = up();
+        Talk count = accept(counter);
+        if (trouble.equals("gone")) {
+            counter.close();
+            count.socket.close();
+        }
+        client.say(paid(1) + ask(2));
+        if (!trouble.equals("gone")) {
+            count.hear();
+        }
+        switch (trouble) {
+            case "busy" -> count.say("-BUSY\r\n");
+            case "garbage" -> count.say("*1\r\n$1\r\n5\r\n");
+            default -> { }
+        }
+        Talk other = client();
+        other.say(ask(3));
+        serveAll(servers[0]);
+        assertEquals(client.hear(), "for " + id(1));
+        assertEquals(client.hear(), "for " + id(2));
+        assertEquals(other.hear(), "for " + id(3));
+    }
+
+    @Test
+    public void deadCounterConnectionIsReplaced() throws Exception {
+        Talk client = up();
+        Talk dead = accept(counter);
+        client.say(paid(1));
+        dead.hear();
+        Talk server = accept(servers[0]);
+        server.hear();
+        server.say(value("by the slice"));
+        assertEquals(client.hear(), "by the slice");
+        client.say(paid(2));
+        dead.hear();
+        assertEquals(dead.hear(), null); // given up
+        client.say(paid(3));
+        Talk fresh = accept(counter);
+        assertTrue(fresh.hear().startsWith("CNT.ADD "));
+    }
+
+    /** From now on every command is passed, whichever connection it comes on. */
+    private void serveAll(ServerSocket at) {
+        Thread door = new Thread(() -> {
+            try {
+                while (true) {
+                    Talk t = accept(at);
+                    Thread talk = new Thread(() -> {
+                        try {
+                            for (String s = t.hear(); s != null; s = t.hear()) {
+                                t.say(value("for " + s.split(" ")[2]));
+                            }
+                        } catch (IOException e) {
+                            // the test is over
+                        }
+                    });
+                    talk.setDaemon(true);
+                    talk.start();
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        door.setDaemon(true);
+        door.start();
+    }
+
+    private static void chunk(Talk watch, String text, boolean first) throws IOException {
+        watch.say((first ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" : "") + Integer.toHexString(text.length()) + "\r\n"
+                + text + "\r\n");
+    }
+
+    @Test
+    public void watchIsTakenUpAgainAndDrainsAreKept() throws Exception {
+        Talk client = up();
+        Talk watch = accept(discovery);
+        assertEquals(watch.line(), "GET /registry/instances?watch=1&after=41 HTTP/1.1");
+        chunk(watch, "\n{\"seq\":43,\"whole\":false,\"hosts\":[" + entry(1, servers[1], "ready") + "]}\n", true);
+        watch.socket.close();
+        watch = accept(discovery);
+        assertEquals(watch.line(), "GET /registry/instances?watch=1&after=43 HTTP/1.1");
+        chunk(watch, "{\"seq\":44,\"whole\":false,\"hosts\":[" + entry(0, servers[0], "draining") + "]}\n", true);
+        chunk(watch, "{\"seq\":\"no number\"}\n", false);
+        watch = accept(discovery); // after the list: what is asked from now on knows of the drain
+        assertEquals(watch.line(), "GET /registry/instances?watch=1&after=44 HTTP/1.1");
+        for (int i = 0; i < 6; i++) {
+            client.say(ask(i));
+            Talk server = accept(servers[1]);
+            server.hear();
+            server.say(value("ok"));
+            assertEquals(client.hear(), "ok");
+            server.socket.close();
+        }
+        assertTrue(Files.readString(log).contains("discovery: expected discovery: seq: expected a whole number"));
+    }
+
+    @Test
+    public void sigtermLeavesNothingUnanswered() throws Exception {
+        Talk client = up();
+        Talk idle = client();
+        assertEquals(idle.say(command("PING")).hear(), "+PONG");
+        client.say(ask(1));
+        Talk server = accept(servers[0]);
+        server.hear();
+        gateway.toHandle().destroy();
+        Talk late = client(); // still let in
+        late.say(ask(2));
+        Talk second = accept(servers[0]);
+        second.hear();
+        second.say(value("taken after the signal"));
+        assertEquals(late.hear(), "taken after the signal");
+        assertEquals(idle.hear(), null);
+        assertEquals(late.hear(), null);
+        assertTrue(gateway.isAlive());
+        server.say(value("taken before it"));
+        assertEquals(client.hear(), "taken before it");
+        assertEquals(client.hear(), null);
+        client.socket.close();
+        late.socket.close();
+        idle.socket.close();
+        assertTrue(gateway.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
+        assertEquals(gateway.exitValue(), 0);
+    }
+
+    @DataProvider
+    public Object[][] badStarts() {
+        return new Object[][] {
+            {null, null, "environment: ROUTER_CONFIG: expected the path of the configuration"},
+            {"", "{", "configuration: text: expected JSON"},
+            {"", "{\"settings\":3}", "configuration: settings: expected an object"},
+            {"\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"new\"", "configuration: seed: expected a number in hex digits"},
+            {"\"QuotaRate\":1}", "\"QuotaRate\":\"x\"}", "configuration: settings.Tariffs.QuotaRate: expected a number"},
+            {"\"discovery\":\"", "\"discovery\":\"host.example", "configuration: discovery: expected a numeric host:port"},
+            {"\"sockets\":1024", "\"socks\":1024", "configuration: limits.sockets: expected a whole number"},
+            {"taken", "", "an address to listen on is not free"},
+        };
+    }
+
+    /** One line that names the variable or field, and an exit code. */
+    @Test(dataProvider = "badStarts")
+    public void badStartIsNamed(String part, String instead, String line) throws Exception {
+        String text = configuration();
+        if (part != null && part.equals("taken")) {
+            open.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+        } else if (part != null) {
+            assertTrue(text.contains(part));
+            text = part.isEmpty() ? instead : text.replace(part, instead);
+        }
+        Files.writeString(config, text);
+        gateway = start(part == null ? Map.of() : Map.of("ROUTER_CONFIG", config.toString()));
+        assertTrue(gateway.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
+        assertEquals(gateway.exitValue(), 1);
+        String said = Files.readString(log);
+        assertTrue(said.contains("tinford: " + line), said);
+        assertFalse(said.contains("\tat "), said);
+    }
+}
--- /dev/null
+++ b/src/test/java/tinford/protocol/ProtocolTest.java
@@ -0,0 +1,191 @@
+package tinford.protocol;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The parsers, over every split of the bytes. */
+public class ProtocolTest {
+    private static byte[] bytes(String s) {
+        return s.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String shown(Resp r) {
+        StringBuilder s = new StringBuilder(r.array() ? "*" : "");
+        for (int i = 0; i < r.parts(); i++) {
+            s.append(i > 0 ? " " : "").append(r.kind(i) == 0 ? "null" : (char) r.kind(i) + r.text(i));
+        }
+        return s.toString();
+    }
+
+    @DataProvider
+    public Object[][] values() {
+        return new Object[][] {
+            {"+PONG\r\n", "+PONG"},
+            {"-BUSY 40\r\n", "-BUSY 40"},
+            {":12\r\n", ":12"},
+            {"$0\r\n\r\n", "$"},
+            {"$5\r\na\r\nbc\r\n", "$a\r\nbc"},
+            {"$-1\r\n", "null"},
+            {"*1\r\n$4\r\nPING\r\n", "*$PING"},
+            {"*3\r\n$2\r\nok\r\n$-1\r\n$6\r\ncost=4\r\n", "*$ok null $cost=4"},
+            {"*2\r\n$-1\r\n-ERR no\r\n", "*null -ERR no"},
+        };
+    }
+
+    @Test(dataProvider = "values")
+    public void valueIsFoundOnceWhole(String text, String shown) throws Malformed {
+        byte[] all = bytes("##" + text + "+next\r\n");
+        Resp resp = new Resp();
+        for (int n = 0; n < text.length(); n++) {
+            assertEquals(resp.parse(all, 2, 2 + n), 0, "after " + n + " bytes");
+        }
+        for (int stop = 2 + text.length(); stop <= all.length; stop++) {
+            assertEquals(resp.parse(all, 2, stop), text.length());
+            assertEquals(shown(resp), shown);
+        }
+    }
+
+    @DataProvider
+    public Object[][] garbage() {
+        return new Object[][] {
+            {"hello\r\n", "a RESP2 value"},
+            {"*0\r\n", "an array of 1 to 16 parts"},
+            {"*17\r\n", "an array of 1 to 16 parts"},
+            {"*-1\r\n", "a length in digits"},
+            {"*x\r\n", "a length in digits"},
+            {"$1234567890\r\n", "a length of 1 to 9 digits"},
+            {"$65537\r\n", "a value of at most 65536 bytes"},
+            {"$-2\r\n", "$-1 for no value"},
+            {"$2\r\nabcd", "the end of a line behind a value"},
+            {"*1\r\n*1\r\n$1\r\na\r\n", "a RESP2 value"},
+            {"+" + "x".repeat(2000), "a line of under 1024 bytes"},
+        };
+    }
+
+    @Test(dataProvider = "garbage")
+    public void garbageIsNamed(String text, String expected) {
+        Malformed m = expectThrows(Malformed.class, () -> new Resp().parse(bytes(text), 0, text.length()));
+        assertEquals(m.getMessage(), "expected " + expected);
+    }
+
+    private static final String TERMS = "c=read,t=gold,d=480,k=5c0f,units=2.5,spread=3,first=1";
+
+    private static Ask ask(String... words) throws Malformed {
+        StringBuilder s = new StringBuilder("*" + words.length + "\r\n");
+        for (String w : words) {
+            s.append("$").append(w.length()).append("\r\n").append(w).append("\r\n");
+        }
+        byte[] all = bytes("##" + s);
+        Resp resp = new Resp();
+        int n = resp.parse(all, 2, all.length);
+        return new Ask(resp, all, 2, n);
+    }
+
+    @Test
+    public void askTellsItsTerms() throws Malformed {
+        Ask a = ask("Q.DO", "00000001b4d65521", "ffffffffaa5c7e2d", TERMS + ",r=1,new=7", "BODY");
+        assertEquals(Arrays.asList(a.resendable, a.customer, a.id, a.frontend, a.plan, a.patience, a.units, a.width,
+                a.first, a.resent), Arrays.asList(false, 0x1b4d65521L, 0xffffffffaa5c7e2dL, "read", "gold", 480.0, 2.5,
+                3, 1, true));
+    }
+
+    @DataProvider
+    public Object[][] badAsks() {
+        String id = "00000001b4d65521";
+        return new Object[][] {
+            {"Q.GET", id, id, TERMS, "Q.ASK, Q.DO or PING"},
+            {"Q.ASK", "200000000", id, TERMS, "customer of 16 hex digits"},
+            {"Q.ASK", "0000000200000000", id, TERMS, "a customer below 2^33"},
+            {"Q.ASK", id, "xyz", TERMS, "id of 16 hex digits"},
+            {"Q.ASK", id, id, "c=read,t=gold", "the terms c, t and d"},
+            {"Q.ASK", id, id, "c=read,t=gold,d=soon", "d from 0 to 1000000000"},
+            {"Q.ASK", id, id, "c=read,t=gold,d=-1", "d from 0 to 1000000000"},
+            {"Q.ASK", id, id, "c=read,t=gold,d=NaN", "d from 0 to 1000000000"},
+            {"Q.ASK", id, id, "c=read,t=gold,d=1,spread=0", "spread from 1 to 1000000"},
+            {"Q.ASK", id, id, "c=read,what", "terms as name=value,name=value"},
+        };
+    }
+
+    @Test(dataProvider = "badAsks")
+    public void badAskIsNamed(String verb, String customer, String id, String terms, String expected) {
+        Malformed m = expectThrows(Malformed.class, () -> ask(verb, customer, id, terms));
+        assertEquals(m.getMessage(), "expected " + expected);
+    }
+
+    @DataProvider
+    public Object[][] usages() {
+        return new Object[][] {
+            {"used=37,cost=4", "cost", 4.0},
+            {"used=37,cost=4", "used", 37.0},
+            {"used=37,cost=4", "ost", -1.0},
+            {"used=,cost=x", "used", -1.0},
+            {"used=,cost=x", "cost", -1.0},
+            {"", "cost", -1.0},
+        };
+    }
+
+    @Test(dataProvider = "usages")
+    public void usageIsReadByName(String text, String name, double value) {
+        assertEquals(Usage.of(text, name, -1), value);
+    }
+
+    @Test
+    public void reportFollowsTheNamesGiven() {
+        assertEquals(Usage.report("queue=2,x=9,util=0.61", List.of("util", "queue", "qps")), new double[] {0.61, 2, 0});
+        assertEquals(Usage.report("cost=4", List.of("util")), null);
+    }
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Type: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    @Test
+    public void linesAreFoundWhereverChunksAndReadsEnd() throws Malformed {
+        String body = "{\"a\":1}\n\n{\"b\":\"\u00e9\"}\n";
+        byte[] text = body.getBytes(StandardCharsets.UTF_8);
+        for (int chunk = 1; chunk <= text.length; chunk++) {
+            StringBuilder s = new StringBuilder(HEAD);
+            for (int at = 0; at < text.length; at += chunk) {
+                int n = Math.min(chunk, text.length - at);
+                s.append(Integer.toHexString(n)).append(";x=1\r\n")
+                        .append(new String(text, at, n, StandardCharsets.ISO_8859_1)).append("\r\n");
+            }
+            byte[] all = bytes(s + "0\r\n\r\n");
+            for (int read = 1; read < all.length; read += 3) {
+                List<String> found = new ArrayList<>();
+                HttpLines lines = new HttpLines();
+                int from = 0;
+                for (int to = read; from < all.length && !lines.done(); to = Math.min(all.length, to + read)) {
+                    from += lines.read(all, from, to, found::add);
+                }
+                assertTrue(lines.done());
+                assertEquals(found, List.of("{\"a\":1}", "", "{\"b\":\"\u00e9\"}"));
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] badHttp() {
+        return new Object[][] {
+            {"HTTP/1.1 503 Busy\r\n\r\n", "HTTP/1.1 200"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "an answer in chunks"},
+            {HEAD + "zz\r\n", "the size of a chunk in hex digits"},
+            {HEAD + "-1\r\n", "the size of a chunk"},
+            {HEAD + "1\r\nxyz\r\n", "the end of a line behind a chunk"},
+            {"x".repeat(9000), "a head of under 8192 bytes"},
+        };
+    }
+
+    @Test(dataProvider = "badHttp")
+    public void badHttpIsNamed(String text, String expected) {
+        Malformed m = expectThrows(Malformed.class,
+                () -> new HttpLines().read(bytes(text), 0, text.length(), line -> { }));
+        assertEquals(m.getMessage(), "expected " + expected);
+    }
+}
--- /dev/null
+++ b/src/test/java/tinford/routing/RoutingTest.java
@@ -0,0 +1,136 @@
+package tinford.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import tinford.Bed;
+import tinford.api.End;
+import tinford.api.Gateway;
+import tinford.api.Writer;
+import tinford.transport.Ending;
+
+/** What the ends of connections mean, addresses, and the messages between gateways. */
+public class RoutingTest {
+    @DataProvider
+    public Object[][] ends() {
+        return new Object[][] {
+            {Ending.REFUSED, End.UNREACHABLE, End.UNREACHABLE},
+            {Ending.NEVER_UP, End.UNREACHABLE, End.UNREACHABLE},
+            {Ending.NO_ROOM, End.UNREACHABLE, End.UNREACHABLE},
+            {Ending.BROKEN, End.UNREACHABLE, End.BROKEN},
+            {Ending.ENDED, End.UNREACHABLE, End.BROKEN},
+            {Ending.MALFORMED, End.UNREACHABLE, End.BROKEN},
+            {Ending.OVERFULL, End.UNREACHABLE, End.BROKEN},
+            {Ending.RETIRED, End.UNREACHABLE, End.BROKEN},
+            {Ending.SILENT, End.UNREACHABLE, End.TIMED_OUT},
+            {Ending.DROPPED, End.VOID, End.CANCELLED},
+        };
+    }
+
+    @Test(dataProvider = "ends")
+    public void endsSayWhatMayHaveRun(Ending how, End before, End after) {
+        assertEquals(Ends.ofDispatch(how, false), before);
+        assertEquals(Ends.ofDispatch(how, true), after);
+        assertEquals(Ends.ofCall(how, false), End.UNREACHABLE);
+        assertEquals(Ends.ofCall(how, true), after.mayHaveRun ? End.TIMED_OUT : End.UNREACHABLE);
+    }
+
+    @DataProvider
+    public Object[][] addresses() {
+        return new Object[][] {
+            {"127.0.0.1:80", true}, {"[::1]:80", true}, {"127.0.0.1", false}, {"127.0.0.1:0", false},
+            {"127.0.0.1:65536", false}, {"host.example:80", false}, {":80", false}, {"127.0.0.1:x", false},
+        };
+    }
+
+    @Test(dataProvider = "addresses")
+    public void addressesAreNumeric(String text, boolean good) {
+        assertEquals(Addresses.of(text) != null, good);
+    }
+
+    @Test
+    public void onlyShortMessagesOfListedPeersAreHeard() throws Exception {
+        InetAddress here = InetAddress.getLoopbackAddress();
+        LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        Gateway gateway = (now, feed, out) -> feed.replay(new Bed.Deaf() {
+            @Override
+            public void heard(int peer, String text) {
+                heard.add(peer + " " + text);
+                out.tell(peer, "re " + text);
+                out.tell(peer, "x".repeat(257));
+                out.tell(-1, "all");
+            }
+        });
+        try (DatagramSocket peer = new DatagramSocket(0, here); DatagramSocket other = new DatagramSocket(0, here);
+                DatagramSocket all = new DatagramSocket(0, here); DatagramSocket free = new DatagramSocket(0, here)) {
+            InetSocketAddress listen = new InetSocketAddress(here, free.getLocalPort());
+            free.close();
+            Desk desk = new Desk(gateway, 3, 10, 1 << 20);
+            Peers peers = new Peers(desk, listen, List.of(new InetSocketAddress(here, 9), address(peer)), address(all));
+            desk.seat(null, null, null, null, peers);
+            send(other, listen, "stranger");
+            send(peer, listen, "x".repeat(257));
+            send(peer, listen, "hi");
+            assertEquals(heard.poll(10, TimeUnit.SECONDS), "1 hi");
+            assertEquals(heard.size(), 0);
+            assertEquals(receive(peer), "re hi");
+            assertEquals(receive(all), "all");
+            desk.loop.close();
+        }
+    }
+
+    /** A call that was given up keeps its place: its late answer is not taken for the next one's. */
+    @Test
+    public void lateAnswerOfTheCounterIsNotTheNextOne() throws Exception {
+        LinkedBlockingQueue<String> counted = new LinkedBlockingQueue<>();
+        Gateway gateway = (now, feed, out) -> feed.replay(new Bed.Deaf() {
+            @Override
+            public void counted(long name, End how, double took, double total) {
+                counted.add(name + " " + how + " " + total);
+            }
+        });
+        try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Desk desk = new Desk(gateway, 3, 10, 1 << 20);
+            Counter counter = new Counter(desk, new InetSocketAddress(door.getInetAddress(), door.getLocalPort()), 60_000, 50);
+            desk.loop.enter(() -> counter.add(1, 2.5, 1000));
+            try (Socket s = door.accept()) {
+                assertEquals(new String(s.getInputStream().readNBytes(48), StandardCharsets.US_ASCII),
+                        "*4\r\n$7\r\nCNT.ADD\r\n$1\r\n1\r\n$8\r\n2.500000\r\n$4\r\n1000\r\n");
+                assertEquals(counted.poll(10, TimeUnit.SECONDS), "1 TIMED_OUT 0.0");
+                s.getOutputStream().write("$1\r\n4\r\n".getBytes(StandardCharsets.US_ASCII));
+                desk.loop.enter(() -> counter.add(2, 1, 1000));
+                s.getInputStream().readNBytes(41);
+                s.getOutputStream().write("$1\r\n7\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals(counted.poll(10, TimeUnit.SECONDS), "2 GOOD 7.0");
+            }
+            desk.loop.close();
+        }
+    }
+
+    private static InetSocketAddress address(DatagramSocket s) {
+        return new InetSocketAddress(s.getLocalAddress(), s.getLocalPort());
+    }
+
+    private static void send(DatagramSocket from, InetSocketAddress to, String text) throws Exception {
+        byte[] b = text.getBytes(StandardCharsets.UTF_8);
+        from.send(new DatagramPacket(b, b.length, to));
+    }
+
+    private static String receive(DatagramSocket at) throws Exception {
+        at.setSoTimeout(10_000);
+        DatagramPacket p = new DatagramPacket(new byte[1000], 1000);
+        at.receive(p);
+        return new String(p.getData(), 0, p.getLength(), StandardCharsets.UTF_8);
+    }
+}
