--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# The short forms; deploy/balancer.toml holds what build and run are.
+line = $(shell sed -n 's/^$(1) = "\(.*\)".*/\1/p' deploy/balancer.toml)
+
+.PHONY: build test lint run
+
+build:
+	$(call line,build)
+
+test:
+	mvn -B verify
+
+lint:
+	mvn -B -q clean test-compile -Dmaven.compiler.failOnWarning=true -Dmaven.compiler.showWarnings=true
+
+# ROUTER_CONFIG names the configuration
+run:
+	$(call line,run)
