--- a/src/main/java/tinford/benchlink/Line.java
+++ b/src/main/java/tinford/benchlink/Line.java
@@ -28,7 +28,7 @@
             if (in.nextToken() != JsonToken.START_OBJECT || in.nextToken() != JsonToken.FIELD_NAME) {
                 throw new BadInput(where, "message", "an object with one key");
             }
-            String name = in.getCurrentName();
+            String name = in.currentName();
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new BadInput(where, name, "an object of fields");
             }
--- a/src/main/java/tinford/handed/Fields.java
+++ b/src/main/java/tinford/handed/Fields.java
@@ -40,7 +40,7 @@
     protected static Map<String, Object> object(JsonParser in) throws IOException {
         Map<String, Object> found = new LinkedHashMap<>();
         while (in.nextToken() == JsonToken.FIELD_NAME) {
-            String key = in.getCurrentName();
+            String key = in.currentName();
             in.nextToken();
             found.put(key, value(in));
         }
--- a/src/main/java/tinford/program/Serve.java
+++ b/src/main/java/tinford/program/Serve.java
@@ -63,7 +63,7 @@
         double connectWithin = bounds.millis("ConnectTimeoutUs");
         Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most / 2, loadNames(set));
         Clients clients = new Clients(desk, Handed.frontends(set), Handed.plans(set),
-                (int) bounds.whole("OpenCap", 20_000), bytes, most / 2 - 8);
+                (int) bounds.whole("OpenCap", 20_000), bytes, most / 2 - 40);
         Counter counter = Handed.counter(set).present
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout) : null;
         Fields known = given.part("known");
--- a/src/main/java/tinford/protocol/Ask.java
+++ b/src/main/java/tinford/protocol/Ask.java
@@ -1,6 +1,7 @@
 package tinford.protocol;
 
 import java.nio.charset.StandardCharsets;
+import tinford.transport.Buf;
 
 /** A client's command: its fields, and its bytes, from which the command to a server is made. */
 public final class Ask {
@@ -112,7 +113,7 @@
     }
 
     /** The same command, but for how long its sender will wait, in whole milliseconds. */
-    public void write(tinford.transport.Buf to, long patience) {
+    public void write(Buf to, long patience) {
         String time = Long.toString(patience);
         to.put(raw, 0, termsHead).put("$").put(termsTo - termsFrom - (timeTo - timeFrom) + time.length()).line()
                 .put(raw, termsFrom, timeFrom - termsFrom).put(time).put(raw, timeTo, raw.length - timeTo);
--- a/src/main/java/tinford/protocol/HttpLines.java
+++ b/src/main/java/tinford/protocol/HttpLines.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.function.Consumer;
 
 /** An HTTP/1.1 answer that is sent in chunks and holds lines of text; line ends and chunk ends need not meet. */
@@ -63,7 +64,7 @@
         if (!head.startsWith("HTTP/1.1 200 ")) {
             throw new Malformed("HTTP/1.1 200");
         }
-        if (!head.toLowerCase(java.util.Locale.ROOT).contains("\r\ntransfer-encoding: chunked\r\n")) {
+        if (!head.toLowerCase(Locale.ROOT).contains("\r\ntransfer-encoding: chunked\r\n")) {
             throw new Malformed("an answer in chunks");
         }
         headRead = true;
--- a/src/main/java/tinford/routing/Backend.java
+++ b/src/main/java/tinford/routing/Backend.java
@@ -9,7 +9,6 @@
     InetSocketAddress dial;
     /** Connections with nothing in them, the last used first. */
     final ArrayDeque<ServerLink> idle = new ArrayDeque<>();
-    int links;
 
     Backend(String id) {
         super(id);
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -22,6 +22,10 @@
         this.clients = clients;
     }
 
+    boolean closing() {
+        return closing != null;
+    }
+
     boolean idle() {
         return first == null && buf.unread() == 0;
     }
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -17,6 +17,7 @@
 
 /** The clients' side: their connections, and the reqs that are open. */
 public final class Clients {
+    private static final int SPARE = 32; // for those that come while room is made by ends that take their time
     final Desk desk;
     final Resp resp = new Resp();
     private final Map<String, Frontend> frontends;
@@ -46,7 +47,8 @@
             if (links.size() >= mostLinks) {
                 makeRoom();
             }
-            if (links.size() >= mostLinks) {
+            // what is not taken is closed unread, so that its client goes elsewhere
+            if (links.size() >= mostLinks + SPARE || closed != null) {
                 return null;
             }
             ClientLink link = new ClientLink(this);
@@ -60,7 +62,7 @@
     private void makeRoom() {
         ClientLink oldest = null;
         for (ClientLink l : links) {
-            if (l.idle() && (oldest == null || l.lastUse < oldest.lastUse)) {
+            if (l.idle() && !l.closing() && (oldest == null || l.lastUse < oldest.lastUse)) {
                 oldest = l;
             }
         }
--- a/src/main/java/tinford/routing/Desk.java
+++ b/src/main/java/tinford/routing/Desk.java
@@ -97,17 +97,19 @@
             return;
         }
         servers.carry(d, (Backend) srv, (long) Math.ceil(wait));
-        d.cap = loop.after(wait, () -> d.link.end(Ending.SILENT));
+        d.cap = loop.after(wait, () -> stop(d, Ending.SILENT));
     }
 
     @Override
     public void cancel(Req req, int hop) {
         Dispatch d = ((Exchange) req).dispatches.get(hop);
-        loop.due(() -> {
-            if (!d.ended && d.link != null) {
-                d.link.end(Ending.DROPPED);
-            }
-        });
+        loop.due(() -> stop(d, Ending.DROPPED));
+    }
+
+    private void stop(Dispatch d, Ending how) {
+        if (!d.ended && d.link != null) {
+            d.link.end(how);
+        }
     }
 
     @Override
--- a/src/main/java/tinford/routing/ServerLink.java
+++ b/src/main/java/tinford/routing/ServerLink.java
@@ -4,6 +4,7 @@
 import tinford.api.End;
 import tinford.protocol.Malformed;
 import tinford.protocol.Resp;
+import tinford.protocol.Usage;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 
@@ -74,7 +75,8 @@
             String[] words = resp.text(0).split(" ");
             how = words[0].equals("BUSY") ? End.FULL : End.ERROR;
             if (how == End.ERROR && (words.length < 2 || !words[1].equals("failed"))) {
-                servers.desk.complain(Level.WARNING, "server " + backend.id, new Malformed("-ERR failed, not -" + resp.text(0)));
+                servers.desk.complain(Level.WARNING, "server " + backend.id,
+                        new Malformed("-ERR failed, not -" + resp.text(0)));
             }
             load = words[words.length - 1];
             used = words.length > 2 ? words[2] : "";
@@ -84,21 +86,17 @@
         buf.take(n);
         dispatch = null;
         servers.free(this);
-        desk.ended(d, how, 1 + (int) tinford.protocol.Usage.of(used, "used", -1),
-                how == End.GOOD ? tinford.protocol.Usage.of(used, "cost", 0) : 0, servers.report(load));
+        desk.ended(d, how, 1 + (int) Usage.of(used, "used", -1), how == End.GOOD ? Usage.of(used, "cost", 0) : 0,
+                servers.report(load));
     }
 
     @Override
     protected void ended(Ending how) {
-        servers.gone(this);
+        servers.gone(this, how);
         if (dispatch != null) {
             Dispatch d = dispatch;
             dispatch = null;
             servers.desk.ended(d, Ends.ofDispatch(how, allWritten()), 0, 0, null);
         }
     }
-
-    boolean busy() {
-        return dispatch != null;
-    }
 }
--- a/src/main/java/tinford/routing/Servers.java
+++ b/src/main/java/tinford/routing/Servers.java
@@ -40,15 +40,6 @@
         List<Srv> entries = new ArrayList<>();
         for (Fields e : list.parts("hosts")) {
             Backend b = backends.computeIfAbsent(e.text("host"), Backend::new);
-            InetSocketAddress dial = Addresses.of(e, "dial");
-            if (!dial.equals(b.dial)) {
-                retire(b);
-                b.dial = dial;
-            }
-            b.zone = e.text("site");
-            b.cell = (int) e.whole("block", 0);
-            b.size = e.real("share", 1);
-            b.born = e.real("born_ms", 0);
             b.state = switch (e.text("health")) {
                 case "ready" -> Srv.State.UP;
                 case "draining" -> Srv.State.DRAINING;
@@ -56,6 +47,19 @@
                 default -> throw e.bad("health", "ready, draining or gone");
             };
             entries.add(b);
+            if (b.state == Srv.State.REMOVED) {
+                continue; // of what is gone nothing else needs to be told
+            }
+            InetSocketAddress dial = Addresses.of(e, "dial");
+            double born = e.real("born_ms", 0);
+            if (!dial.equals(b.dial) || born != b.born) {
+                retire(b); // these lead to what was there before
+            }
+            b.dial = dial;
+            b.born = born;
+            b.zone = e.text("site");
+            b.cell = (int) e.whole("block", 0);
+            b.size = e.real("share", 1);
         }
         boolean whole = list.flag("whole");
         desk.in.listed(entries, whole);
@@ -77,7 +81,6 @@
             }
             link = new ServerLink(desk, this, b);
             links++;
-            b.links++;
             link.carry(d, patience);
             link.connect(links > most ? 0 : connectWithin);
         } else {
@@ -103,10 +106,13 @@
         }
     }
 
-    void gone(ServerLink link) {
+    void gone(ServerLink link, Ending how) {
         links--;
-        link.backend.links--;
         link.backend.idle.remove(link);
+        // guards against connections that look idle and lead to a machine that is gone: none can be opened to it
+        if (how == Ending.REFUSED || how == Ending.NEVER_UP) {
+            retire(link.backend);
+        }
     }
 
     void retire(Backend b) {
--- a/src/main/java/tinford/transport/Datagrams.java
+++ b/src/main/java/tinford/transport/Datagrams.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import org.xnio.OptionMap;
 import org.xnio.channels.MulticastMessageChannel;
 import org.xnio.channels.SocketAddressBuffer;
@@ -41,7 +42,7 @@
                 }
                 InetSocketAddress from = addresses.getSourceAddress(InetSocketAddress.class);
                 if (n <= most) {
-                    byte[] bytes = java.util.Arrays.copyOf(buffer.array(), n);
+                    byte[] bytes = Arrays.copyOf(buffer.array(), n);
                     loop.due(() -> taker.take(from, bytes));
                 }
             }
--- a/src/main/java/tinford/transport/Link.java
+++ b/src/main/java/tinford/transport/Link.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -82,7 +81,7 @@
 
     final void adopt(StreamConnection c) {
         connection = c;
-        c.getSourceChannel().setReadListener((ChannelListener<org.xnio.conduits.ConduitStreamSourceChannel>) ch -> readable());
+        c.getSourceChannel().setReadListener(ch -> readable());
         c.getSinkChannel().setWriteListener(ch -> writable());
         c.getSourceChannel().resumeReads();
     }
@@ -188,10 +187,6 @@
         }
     }
 
-    protected final boolean finishing() {
-        return finishing != null;
-    }
-
     /** Closes it, whatever state it is in; the first call counts. */
     public final void end(Ending how) {
         if (over) {
--- a/src/main/java/tinford/transport/Loop.java
+++ b/src/main/java/tinford/transport/Loop.java
@@ -106,8 +106,13 @@
         }
         playing.addAll(due);
         due.clear();
-        for (Due d : playing) {
-            d.play();
+        for (int i = 0; i < playing.size(); i++) {
+            try {
+                playing.get(i).play();
+            } catch (RuntimeException e) {
+                // guards all others against a fault in the handling of one
+                LOG.log(Level.ERROR, "one thing that came in was not handled to its end", e);
+            }
         }
         playing.clear();
     }
@@ -140,9 +145,7 @@
         try {
             turn.run();
         } catch (RuntimeException e) {
-            // guards the other connections against a fault in the handling of one
             LOG.log(Level.ERROR, "a turn was cut short", e);
-            playing.clear();
         }
         for (int i = 0; i < unflushed.size(); i++) {
             unflushed.get(i).flush();
--- a/src/test/java/tinford/routing/RoutingTest.java
+++ b/src/test/java/tinford/routing/RoutingTest.java
@@ -73,9 +73,11 @@
             }
         });
         try (DatagramSocket peer = new DatagramSocket(0, here); DatagramSocket other = new DatagramSocket(0, here);
-                DatagramSocket all = new DatagramSocket(0, here); DatagramSocket free = new DatagramSocket(0, here)) {
-            InetSocketAddress listen = new InetSocketAddress(here, free.getLocalPort());
-            free.close();
+                DatagramSocket all = new DatagramSocket(0, here)) {
+            InetSocketAddress listen;
+            try (DatagramSocket free = new DatagramSocket(0, here)) {
+                listen = address(free);
+            }
             Desk desk = new Desk(gateway, 3, 10, 1 << 20);
             Peers peers = new Peers(desk, listen, List.of(new InetSocketAddress(here, 9), address(peer)), address(all));
             desk.seat(null, null, null, null, peers);
