No wake-up for timers that were cancelled

Time-outs of counter calls still woke the loop up to 12 times a second after their answers had come (Loop.arm kept an alarm that was too early).

--- a/src/main/java/tinford/routing/Counter.java
+++ b/src/main/java/tinford/routing/Counter.java
@@ -70,6 +70,9 @@
     }
 
     private void watch() {
+        if (watch != null) {
+            watch.cancel();
+        }
         double next = !waiting.isEmpty() ? waiting.peek().at + timeout : wire != null ? wire.deadAt() : Double.NaN;
         watch = Double.isNaN(next) ? null : desk.loop.after(next - desk.now, this::giveUp);
     }
@@ -93,6 +96,9 @@
         }
         c.told = true;
         waiting.remove(c);
+        if (waiting.isEmpty()) {
+            watch();
+        }
         desk.in.counted(c.name, how, desk.now - c.at, total);
     }
 
--- a/src/main/java/tinford/transport/Loop.java
+++ b/src/main/java/tinford/transport/Loop.java
@@ -162,13 +162,18 @@
         while (!timers.isEmpty() && timers.peek().then == null) {
             timers.poll();
         }
-        if (timers.isEmpty() || armedFor <= timers.peek().at) {
+        long next = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
+        if (armedFor == next) {
             return;
         }
         if (armed != null) {
-            armed.remove();
+            armed.remove(); // also when it would come too soon: a wake-up for nothing costs as much as any other
+            armed = null;
+        }
+        armedFor = next;
+        if (timers.isEmpty()) {
+            return;
         }
-        armedFor = timers.peek().at;
         long ms = Math.max(0, (armedFor - System.nanoTime() + 999_999) / 1_000_000);
         armed = thread.executeAfter(() -> {
             armed = null;
