The counter's connection is renewed before a call needs it; accepts bounded

By reading: after an outage the next call first had to open the connection, and one made while an attempt hung failed with it, up to 0.4 s on top of the outage; now attempts go on by themselves, one each connect time-out.

--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -43,7 +43,7 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        door = new Door(desk.loop, at, () -> {
+        door = new Door(desk.loop, at, mostLinks + 2 * SPARE, () -> {
             if (links.size() >= mostLinks) {
                 makeRoom();
             }
--- a/src/main/java/tinford/routing/Counter.java
+++ b/src/main/java/tinford/routing/Counter.java
@@ -183,9 +183,11 @@
             for (Call c = never ? unsent.poll() : null; c != null; c = unsent.poll()) {
                 tell(c, Ends.ofCall(how, false), 0);
             }
-            // the next call opens another; at once where one is under way
-            if (!unsent.isEmpty()) {
+            // another is ready before the next call needs it; what ends at once is not tried faster than what is silent
+            if (how == Ending.NEVER_UP || how == Ending.SILENT || !unsent.isEmpty()) {
                 connect();
+            } else {
+                desk.loop.after(connectWithin, Counter.this::connect);
             }
         }
     }
--- a/src/main/java/tinford/transport/Door.java
+++ b/src/main/java/tinford/transport/Door.java
@@ -13,7 +13,8 @@
 public final class Door {
     private final AcceptingChannel<StreamConnection> channel;
 
-    public Door(Loop loop, InetSocketAddress at, Supplier<? extends Link> links) throws IOException {
+    /** @param most connections that may be open through it at once; more wait in the backlog until one has ended */
+    public Door(Loop loop, InetSocketAddress at, int most, Supplier<? extends Link> links) throws IOException {
         channel = loop.worker.createStreamConnectionServer(at, ch -> {
             try {
                 for (StreamConnection c = ch.accept(); c != null; c = ch.accept()) {
@@ -23,7 +24,8 @@
             } catch (IOException e) {
                 // closed meanwhile: nothing more comes in
             }
-        }, OptionMap.create(Options.TCP_NODELAY, true, Options.BACKLOG, 512));
+        }, OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 512)
+                .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
         channel.resumeAccepts();
     }
 
--- a/src/main/java/tinford/transport/Loop.java
+++ b/src/main/java/tinford/transport/Loop.java
@@ -42,6 +42,7 @@
     private XnioExecutor.Key armed;
     private long armedFor = Long.MAX_VALUE;
     private boolean called;
+    private boolean closed;
     private int descriptors;
 
     /** A call at a time to come. */
@@ -117,8 +118,12 @@
         playing.clear();
     }
 
+    /** From any thread: nothing is played any more. */
     public void close() {
-        worker.shutdownNow();
+        thread.execute(() -> {
+            closed = true;
+            worker.shutdownNow();
+        });
     }
 
     boolean takeDescriptor() {
@@ -135,13 +140,16 @@
     }
 
     private void call() {
-        if (!called) {
+        if (!called && !closed) {
             called = true;
             thread.execute(this::turn);
         }
     }
 
     private void turn() {
+        if (closed) {
+            return;
+        }
         try {
             turn.run();
         } catch (RuntimeException e) {
--- a/src/test/java/tinford/routing/RoutingTest.java
+++ b/src/test/java/tinford/routing/RoutingTest.java
@@ -120,6 +120,24 @@
         }
     }
 
+    /** A counter that was gone is found again without a call that would have to fail first. */
+    @Test
+    public void counterThatComesBackIsConnectedTo() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Desk desk = new Desk((now, feed, out) -> feed.replay(new Bed.Deaf()), 3, 10, 1 << 20);
+        Counter counter = new Counter(desk, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 20, 50);
+        desk.loop.enter(counter::connect);
+        try (ServerSocket door = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            door.setSoTimeout(10_000);
+            door.accept().close();
+            door.accept().close();
+        }
+        desk.loop.close();
+    }
+
     private static InetSocketAddress address(DatagramSocket s) {
         return new InetSocketAddress(s.getLocalAddress(), s.getLocalPort());
     }
