A counter call without an answer in its time is timed out, also if it never left

Probe: in the outage the counter is a black hole, calls wait for a connection and were told as surely not added, so that the module owed them: up to 37 units in the first call after it, and 12 to 20% of tries denied with half the quota unused in the next 5 s. Lines at fault: Counter.giveUp and Wire.ended. It could do harm where a refusing counter is silent for long: what passed then is not counted.

--- a/src/main/java/tinford/routing/Counter.java
+++ b/src/main/java/tinford/routing/Counter.java
@@ -77,11 +77,11 @@
         watch = Double.isNaN(next) ? null : desk.loop.after(next - desk.now, this::giveUp);
     }
 
-    /** The oldest call has waited long enough; one that never left was surely not added. */
+    /** The oldest call has waited long enough. */
     private void giveUp() {
         while (!waiting.isEmpty() && desk.now - waiting.peek().at >= timeout - 0.5) {
             Call c = waiting.peek();
-            tell(c, Ends.ofCall(Ending.SILENT, !unsent.remove(c)), 0);
+            tell(c, Ends.ofCall(Ending.SILENT, !unsent.remove(c)), 0); // it leaves no more
         }
         // guards against a connection whose other machine is gone without a word: a new one finds out
         if (wire != null && desk.now >= wire.deadAt() - 0.5) {
@@ -176,11 +176,11 @@
         @Override
         protected void ended(Ending how) {
             wire = null;
-            boolean never = how == Ending.REFUSED || how == Ending.NEVER_UP || how == Ending.NO_ROOM;
+            boolean refused = how == Ending.REFUSED || how == Ending.NO_ROOM; // else each has its time still
             for (Call c : sent) {
                 tell(c, Ends.ofCall(how, true), 0);
             }
-            for (Call c = never ? unsent.poll() : null; c != null; c = unsent.poll()) {
+            for (Call c = refused ? unsent.poll() : null; c != null; c = unsent.poll()) {
                 tell(c, Ends.ofCall(how, false), 0);
             }
             // another is ready before the next call needs it; what ends at once is not tried faster than what is silent
--- a/src/main/java/tinford/routing/Ends.java
+++ b/src/main/java/tinford/routing/Ends.java
@@ -17,8 +17,12 @@
         };
     }
 
-    /** To a call on the counter, what may have been added is all one, however it came to be unknown. */
+    /**
+     * To a call on the counter, what may have been added is all one, however it came to be unknown. So is a call that got
+     * no answer in its time, also if it never left: told as surely not added, all that passed in an outage would be owed
+     * by the first call after it, and customers denied who have room again.
+     */
     static End ofCall(Ending how, boolean left) {
-        return ofDispatch(how, left).mayHaveRun ? End.TIMED_OUT : End.UNREACHABLE;
+        return how == Ending.SILENT || ofDispatch(how, left).mayHaveRun ? End.TIMED_OUT : End.UNREACHABLE;
     }
 }
