Client connections between reqs go for new ones from a sixth of the descriptors on

Checked: system calls of one gateway for three seconds, and sockets twice a second. Each req comes on a new connection that its client then keeps; none is used twice. 156 stood open on each gateway, all turned over in 1.5 s, and reqs came in just as fast as connections were closed here. Clients hold at most a third of the descriptors, 128 of 384: they met their own limit and turned the rest away themselves. Ruled out before: quotas, counter, line, dispatches, limits at the door. At fault: Clients.listen made room only at half of the descriptors less 16, above what clients may hold. Changed: from a sixth on, who has been between reqs the longest goes for who comes; who has just come stays until places run short. Could harm: a client that keeps more than a sixth busy by turns opens connections more often.

--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -10,7 +10,8 @@
 
 /** One client connection: commands in, answers out in the order of the commands. */
 final class ClientLink extends Link {
-    static final int BUSY = 4;
+    static final int JUST_COME = 4;
+    static final int BUSY = 5;
     private static final double LATELY = 250;
     private static final int MOST_OUT = 1 << 20;
     private static final int MOST_WAITING = 64; // commands of one connection; a client opens another when all are busy
@@ -33,12 +34,15 @@
     }
 
     /**
-     * On its place here, where places are few: turned away, silent from the first, long between reqs, lately come or
-     * used, in use. Guards those that have just come: their first command may lie unread.
+     * On its place here, where places are few: turned away, silent from the first, long between reqs, lately used, just
+     * come, in use. Guards those that have just come: their first command may lie unread.
      */
     int claim(double now, double silence) {
         double quiet = now - lastUse;
-        return !idle() ? BUSY : closing != null ? 0 : !asked && quiet >= LATELY ? 1 : asked && quiet >= silence ? 2 : 3;
+        if (!idle()) {
+            return BUSY;
+        }
+        return closing != null ? 0 : asked ? quiet >= silence ? 2 : 3 : quiet >= LATELY ? 1 : JUST_COME;
     }
 
     @Override
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -31,6 +31,7 @@
     private final double idleMost;
     private final int mostOpen;
     private final int mostLinks;
+    private final int ease;
     private final long mostHeld;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private final Set<Long> ids = new HashSet<>(); // of the reqs that are open
@@ -44,9 +45,11 @@
      * @param mostUnits of one req
      * @param idleMost how long a connection may stand idle once it has brought a command
      * @param mostOpen reqs at once, of {@code mostHeld} bytes together, and {@code mostLinks} connections
+     * @param ease connections from which on those between reqs go for new ones
      */
     public Clients(Desk desk, Map<String, Frontend> frontends, Map<String, Plan> plans, int gateways, double mostUnits,
-            double idleMost, int mostOpen, long mostHeld, int mostLinks) {
+            double idleMost, int mostOpen, long mostHeld, int mostLinks,
+            int ease) {
         this.gateways = gateways;
         this.mostUnits = mostUnits;
         this.idleMost = idleMost;
@@ -55,14 +58,16 @@
         this.plans = plans;
         this.mostOpen = mostOpen;
         this.mostLinks = mostLinks;
+        this.ease = ease;
         this.mostHeld = mostHeld;
     }
 
     public void listen(InetSocketAddress at) throws IOException {
         look();
         door = new Door(desk.loop, at, mostLinks, () -> {
-            if (links.size() >= mostLinks - SPARE) {
-                makeRoom();
+            // guards those to come: clients hold so many connections at most, also ones that they will not use again
+            if (links.size() >= ease) {
+                makeRoom(links.size() >= mostLinks - SPARE ? ClientLink.BUSY : ClientLink.JUST_COME);
             }
             // what is not taken is closed unread, so that its client goes elsewhere
             if (links.size() >= mostLinks || closed != null) {
@@ -86,12 +91,12 @@
      * Closing between reqs harms nobody: what crosses the close is sent once more by the client. Guards those that ask
      * against those that are turned away or say nothing: these go first, and at once.
      */
-    private void makeRoom() {
+    private void makeRoom(int most) {
         ClientLink least = null;
-        int lowest = ClientLink.BUSY;
+        int lowest = most;
         for (ClientLink l : links) {
             int claim = l.claim(desk.now, SILENCE);
-            if (claim < lowest || claim == lowest && claim < ClientLink.BUSY && l.lastUse < least.lastUse) {
+            if (claim < lowest || claim == lowest && claim < most && l.lastUse < least.lastUse) {
                 lowest = claim;
                 least = l;
             }
