--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -83,8 +83,16 @@
         if (closing != Ending.MALFORMED && halfSince > 0 && now - halfSince >= silence) {
             refuse(new Malformed("a whole command within " + (long) silence + " ms"));
         } else if (closing == null && idle() && now - lastUse >= (asked ? idleMost : silence)) {
+            giveWay();
+        }
+    }
+
+    /** Guards a command that has come since the sockets were last read: it counts as taken, and its client as answered. */
+    boolean giveWay() {
+        if (closing != null || quiet() || idle()) {
             end(Ending.RETIRED);
         }
+        return over();
     }
 
     private void command(Resp resp, int n) {
@@ -167,7 +175,7 @@
         }
         if (closing == Ending.MALFORMED) {
             dismiss(closing);
-        } else {
+        } else if (quiet() || idle()) { // what has come by now is answered first
             finish(closing);
         }
     }
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -91,7 +91,11 @@
      * Closing between reqs harms nobody: what crosses the close is sent once more by the client. Guards those that ask
      * against those that are turned away or say nothing: these go first, and at once.
      */
-    private void makeRoom(int most) {
+    void makeRoom(int most) {
+        for (ClientLink l = least(most); l != null && !l.giveWay(); l = least(most)) { }
+    }
+
+    private ClientLink least(int most) {
         ClientLink least = null;
         int lowest = most;
         for (ClientLink l : links) {
@@ -101,9 +105,7 @@
                 least = l;
             }
         }
-        if (least != null) {
-            least.end(Ending.RETIRED);
-        }
+        return least;
     }
 
     Exchange exchange(ClientLink from, Ask ask) throws Malformed {
--- a/src/test/java/tinford/routing/RoutingTest.java
+++ b/src/test/java/tinford/routing/RoutingTest.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -10,13 +12,19 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import tinford.Bed;
+import tinford.api.Effect;
 import tinford.api.End;
+import tinford.api.Frontend;
 import tinford.api.Gateway;
+import tinford.api.Group;
+import tinford.api.Plan;
+import tinford.api.Req;
 import tinford.api.Writer;
 import tinford.transport.Ending;
 
@@ -93,6 +101,55 @@
         }
     }
 
+    @DataProvider
+    public Object[][] closes() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /** What has come by the time its connection would go for a new one, or at SIGTERM, is answered, though nobody has read it. */
+    @Test(dataProvider = "closes")
+    public void aReqUnreadKeepsItsConnection(boolean all) throws Exception {
+        Gateway gateway = (now, feed, out) -> feed.replay(new Bed.Deaf() {
+            @Override
+            public void arrived(Req req) {
+                out.abort(req);
+            }
+        });
+        Desk desk = new Desk(gateway, 3, 10, 1 << 20);
+        Clients clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false)),
+                Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
+        desk.seat(clients, null, null, null, null);
+        InetAddress here = InetAddress.getLoopbackAddress();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, here)) {
+            port = free.getLocalPort();
+        }
+        clients.listen(new InetSocketAddress(here, port));
+        try (Socket longest = new Socket(here, port); Socket next = new Socket(here, port)) {
+            for (Socket s : List.of(longest, next)) {
+                s.setSoTimeout(10_000);
+                s.getOutputStream().write("*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals(new String(s.getInputStream().readNBytes(7), StandardCharsets.US_ASCII), "+PONG\r\n");
+            }
+            desk.loop.enter(() -> {
+                try {
+                    longest.getOutputStream().write(("*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000000000000007\r\n$16\r\n0000000000000001\r\n"
+                            + "$13\r\nc=f,t=p,d=900\r\n").getBytes(StandardCharsets.US_ASCII));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+                if (all) {
+                    clients.close(() -> { });
+                } else {
+                    clients.makeRoom(ClientLink.JUST_COME);
+                }
+            });
+            assertEquals(new String(longest.getInputStream().readNBytes(14), StandardCharsets.US_ASCII), "-ERR aborted\r\n");
+            assertEquals(next.getInputStream().read(), -1);
+        }
+        desk.loop.close();
+    }
+
     /** A call that was given up keeps its place: its late answer is told as such, not taken for the next one's. */
     @Test
     public void lateAnswerOfTheCounterIsNotTheNextOne() throws Exception {
