Room after a read lies half way between the most and the least left, and never below nought

Checked: denials counted by place and by bound. Four fifths come from totals read (known empty, or judged), not from posture, line or budget; of the three bounds it is nearly always the room since the last read, at minus 5 to minus 19 units while the window's bound has 10 to 100 to spare. Ruled out: idle connections (new ones break as often), further dispatches, servers. At fault: Book.room took a rise unseen as first of all, so each gateway passed a burst on top of what others had just used, and then held what had gone beyond as a debt. Changed: half way between first and last of all, and nought as the floor at each read. The floor belongs to reads only: what is counted for a req that is then denied comes back whole. The main path's bounds are as they were.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -480,7 +480,10 @@
         // guards against time saved up in a calm stretch, or before a first req late in a window: the bound
         // within the window is taken from each earlier read as well
         double room(double risen) {
-            room = Math.min(plan.burst, room + (now - roomAt) * plan.rate - risen);
+            double full = room + (now - roomAt) * plan.rate, most = Math.min(plan.burst, full - risen);
+            // guards against bursts elsewhere: what rose unseen may have come last, out of a full store
+            double least = Math.max(0, Math.min(plan.burst, full) - risen);
+            room = most - 0.5 * Math.max(0, most - least);
             roomAt = now;
             return room;
         }
@@ -491,10 +494,7 @@
                     && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
 
-        void spend(double units) {
-            room -= units;
-            known -= units;
-        }
+        void spend(double units) { room -= units; known -= units; }
 
         /** How long until these units will fit, if nobody else asks. */
         double fitsIn(double units) {
@@ -545,7 +545,8 @@
         /** Ceiling and cap on open reqs, for a first dispatch. */
         boolean mayOpen(double units) {
             fill();
-            return (plan.maxOut <= 0 || open + 0.5 < openSlice()) && (plan.ceilingRate <= 0 || ceiling >= units);
+            return (plan.maxOut <= 0 || open + 0.5 < openSlice())
+                    && (plan.ceilingRate <= 0 || ceiling >= units);
         }
 
         /** The cap on open reqs is shared as the counter shows the traffic to be, at first evenly. */
@@ -687,7 +688,8 @@
         }
 
         private void learn(Book b, Win w, double total, double units) {
-            if (w == b.cur || w.read) b.room = b.room(total - w.total - units) - units;
+            // what was sent on beyond the quota takes nothing from it: the room is never below nought
+            if (w == b.cur || w.read) b.room = Math.max(0, b.room(total - w.total - units)) - units;
             w.total = total;
             w.read = true;
             w.readAt = now;
@@ -709,14 +711,12 @@
             Book b = job.book;
             b.roll();
             job.waits = false;
-            if (job.over) {
-                if (job.countedIn != null) takeBack(job); // else done when its client left
-            } else if (b.fits(b.cur == job.countedIn ? job.total : b.cur.total)) {
+            if (job.over && job.countedIn != null) takeBack(job); // else done when its client left
+            if (job.over) return;
+            if (b.fits(b.cur == job.countedIn ? job.total : b.cur.total)) {
                 b.local = Math.max(0, b.local() - job.req.units); // the slice tells what is left, read or not
                 admit(job);
-            } else {
-                finish(job, b.fitsIn(0));
-            }
+            } else finish(job, b.fitsIn(0));
         }
 
         private void takeBack(Job job) {
@@ -751,8 +751,7 @@
     /** What was measured lately: fixed buckets of time, used again in a ring. */
     private static final class Ring {
         private static final int BUCKETS = 8;
-        private static final double BUCKET_MS = 500;
-        static final double SPAN = BUCKETS * BUCKET_MS;
+        private static final double BUCKET_MS = 500, SPAN = BUCKETS * BUCKET_MS;
         private final double[] sums = new double[BUCKETS];
         private final long[] turns = new long[BUCKETS];
 
