A counter connection that breaks under a call does not slow the calls down

Late answers are rare there, so the counter bears more. At fault: Ends.ofCall made a reset, and the calls behind a spoilt answer, the same as silence. Changed: what ends a connection under a call is told as BROKEN: perhaps added, no silence, and no word on the gap either way. Harm: a counter that resets every call is asked on without a pause; each such call ends at once and holds up nobody.

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -643,9 +643,9 @@
             Book b = call.book();
             Job job = call.job();
             boolean good = how == End.GOOD;
-            unanswered = good || how == End.BROKEN ? 0 : unanswered + 1; // a spoilt answer is no silence
+            unanswered = good || how == End.BROKEN ? 0 : unanswered + 1; // resets are no silence
             boolean slow = unanswered < SILENT_AFTER || now - lateAt < LATE_MS;
-            pace(good || how == End.BROKEN);
+            if (how != End.BROKEN) pace(good);
             if (good) read(call, total);
             if (call.reads() && job.waits) judge(job);
             if (call.reads()) return;
--- a/src/main/java/tinford/routing/Counter.java
+++ b/src/main/java/tinford/routing/Counter.java
@@ -236,10 +236,8 @@
             if (whole != null) {
                 whole.cancel();
             }
-            End first = Ends.ofCall(how, true);
             for (Call c : sent) {
-                tell(c, first, 0);
-                first = Ends.ofCall(Ending.BROKEN, true); // only the first can have been answered at all
+                tell(c, Ends.ofCall(how, true), 0);
             }
             if (replaced) {
                 if (wire != null && wire.up()) {
--- a/src/main/java/tinford/routing/Ends.java
+++ b/src/main/java/tinford/routing/Ends.java
@@ -20,10 +20,10 @@
     /**
      * To a call on the counter, what may have been added is all one, however it came to be unknown. So is a call that got
      * no answer in its time, also if it never left: told as surely not added, all that passed in an outage would be owed
-     * by the first call after it, and customers denied who have room again. What was answered by something that is no
-     * answer has been added as well, but is told apart: the counter is not silent.
+     * by the first call after it, and customers denied who have room again. A connection that ended under a call, or brought
+     * what is no answer, is told apart: it says nothing of how much the counter bears.
      */
     static End ofCall(Ending how, boolean left) {
-        return how == Ending.MALFORMED && left ? End.BROKEN : how == Ending.SILENT || ofDispatch(how, left).mayHaveRun ? End.TIMED_OUT : End.UNREACHABLE;
+        return how == Ending.SILENT ? End.TIMED_OUT : ofDispatch(how, left).mayHaveRun ? End.BROKEN : End.UNREACHABLE;
     }
 }
