--- a/src/main/java/tinford/program/Serve.java
+++ b/src/main/java/tinford/program/Serve.java
@@ -37,8 +37,8 @@
     /** Descriptors that are no connections: the jar, the selectors, the listening sockets, the logs. */
     private static final int OWN_DESCRIPTORS = 40;
 
-    /** One in so many descriptors is what clients may hold for reqs: they are let have one in one more before idle ones go. */
-    private static final int CLIENTS_PART = 3;
+    /** Clients hold a third of the descriptors for reqs, as they count them; idle ones go before they get there. */
+    private static final int IDLE_PART = 4;
 
     /** Clients and connections that come this long after SIGTERM are none the wiser. */
     private static final double CLIENTS_COME = 450;
@@ -74,7 +74,7 @@
         Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most / 2 - 8, loadNames(set));
         Clients clients = new Clients(desk, Handed.frontends(set), Handed.plans(set), Handed.place(set).gateways,
                 Handed.counter(set).largest, bounds.millis("KeepaliveUs"), (int) bounds.whole("OpenCap", 20_000), bytes,
-                most / 2, sockets / (CLIENTS_PART + 1));
+                most / 2, sockets / IDLE_PART);
         Counter counter = Handed.counter(set).present
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout) : null;
         Fields known = given.part("known");
