deploy: the start reads the memory limit in the shell itself, without another process

Ruled out: a fixed heap, since limits run from 32 to 192 MB and more. Checked: the four forms of a configuration tried give the heap that they gave before (614, 38, 57, 19 MB).

--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -1,6 +1,16 @@
 #!/bin/sh
-# Starts one gateway in its place, with the memory that its configuration gives it.
-mb=$(sed -n 's/.*"memory_mb" *: *\([0-9][0-9]*\).*/\1/p' "${ROUTER_CONFIG:-/dev/null}" | head -n 1)
+# Starts one gateway in its place, with the memory that its configuration gives it. The shell starts no other program:
+# where processes may not fork, this has to go through all the same.
+mb=
+while [ -z "$mb" ] && { read -r line || [ -n "$line" ]; }; do
+    case $line in
+        *'"memory_mb"'*)
+            mb=${line#*'"memory_mb"'}
+            mb=${mb#*:}
+            mb=${mb#"${mb%%[0-9]*}"}
+            mb=${mb%%[!0-9]*};;
+    esac
+done < "${ROUTER_CONFIG:-/dev/null}"
 heap=$((${mb:-192} * 3 / 10))
 if [ "$heap" -lt 10 ]; then heap=10; fi
 # heap, direct buffers, stacks, code and classes in what is given; the whole heap is touched at the start, so that memory
