A second process takes the clients over; operators' door; servers taken out by operators

Design, in short. Whose turn it is to take clients is a file lock in TMPDIR, which the machine takes back from a process that dies; the second process is ready at once and waits for it, the first gives it away at SIGTERM, sees the other's door open and closes its own behind what the backlog holds. Connections end right behind their next answer. A banned server is told to the decisions as one that drains; one put back counts as started then, until the list tells of a start during the ban. Ways not taken: both listening from the start (ceilings and cold servers would be drawn on twice for seconds), talk between the processes over loopback (says nothing of one that was killed), XNIO's own listening socket (no SO_REUSEPORT: SharedPort stands in its package and does what its worker does). A ceiling handed over: what the new process fills from empty the old one lets go.

Ruled out: a close with the channel still at its selector lets connections in that are then reset (seen in the new test, one in some thousand); now it leaves the selector first and takes the backlog.

--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
 # Starts one gateway in its place, with the memory that its configuration gives it. The shell starts no other program:
 # where processes may not fork, this has to go through all the same.
-mb=
-while [ -z "$mb" ] && { read -r line || [ -n "$line" ]; }; do
+mb= managed=
+while read -r line || [ -n "$line" ]; do
+    case $line in *'"management"'*) managed=1;; esac
     case $line in
         *'"memory_mb"'*)
             mb=${line#*'"memory_mb"'}
@@ -12,6 +13,8 @@
     esac
 done < "${ROUTER_CONFIG:-/dev/null}"
 heap=$((${mb:-192} * 3 / 10))
+# where a second process may stand beside this one, both have to fit
+if [ -n "$managed" ] && [ "$heap" -gt $((${mb:-192} / 2 - 36)) ]; then heap=$((${mb:-192} / 2 - 36)); fi
 if [ "$heap" -lt 10 ]; then heap=10; fi
 # heap, direct buffers, stacks, code and classes in what is given; the whole heap is touched at the start, so that memory
 # is level from then on; collector and compiler for part of a core, no management beans (a fifth of a second at start),
--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -38,6 +38,7 @@
     private final Ring finished = new Ring(), broken = new Ring();
     private long arrivals, ticks;
     private double now, startedAt, spare, meanWorth = 1;
+    private double leftAt = Double.POSITIVE_INFINITY; // another process of this gateway takes its reqs since
     private Writer out;
 
     public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, Goal goal,
@@ -64,6 +65,10 @@
         out.alarm(TICK, TICK_MS);
     }
 
+    @Override public void takesOver() { startedAt = now; } // no ceiling has filled here while another process drew on it
+
+    @Override public void leaves() { leftAt = now; }
+
     @Override public void listRefused() { if (mustAsk) out.alarm(WATCH, 10 * TICK_MS); }
 
     @Override public void listed(List<Srv> entries, boolean whole) { fleet.list(entries, whole); }
@@ -536,9 +541,11 @@
             return takes;
         }
 
+        // guards a ceiling drawn on by two processes of this gateway: what one fills from empty the other lets go
         private void fill() {
-            double full = plan.ceilingBurst * slice;
-            ceiling = Math.min(full, ceiling + (now - ceilingAt) * plan.ceilingRate * slice);
+            double full = plan.ceilingBurst * slice, rate = plan.ceilingRate * slice;
+            ceiling = Math.min(full, ceiling + Math.max(0, Math.min(now, leftAt) - ceilingAt) * rate);
+            ceiling = Math.max(0, ceiling - Math.max(0, now - Math.max(leftAt, ceilingAt)) * rate);
             ceilingAt = now;
         }
 
--- a/src/main/java/tinford/api/Inbox.java
+++ b/src/main/java/tinford/api/Inbox.java
@@ -7,6 +7,12 @@
     /** The first call of a gateway's life, alone in carrying no input: it may set its timers. */
     void started();
 
+    /** Another process of this gateway took its reqs so far; from now on they come here. */
+    void takesOver();
+
+    /** From now on another process of this gateway takes its reqs, and this one only those on connections it has. */
+    void leaves();
+
     /** Entries of the server list, already brought up to date; {@code whole} if absent servers are gone. */
     void listed(List<Srv> entries, boolean whole);
 
--- a/src/main/java/tinford/handed/Fields.java
+++ b/src/main/java/tinford/handed/Fields.java
@@ -85,6 +85,10 @@
         throw bad(field, "a text");
     }
 
+    public boolean has(String field) {
+        return fields.get(field) != null;
+    }
+
     public boolean flag(String field) {
         Object v = fields.get(field);
         if (v == null || v instanceof Boolean) {
--- /dev/null
+++ b/src/main/java/tinford/program/Handover.java
@@ -0,0 +1,163 @@
+package tinford.program;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import tinford.routing.Clients;
+import tinford.routing.Desk;
+import tinford.routing.Operators;
+import tinford.transport.Turn;
+
+/**
+ * Which process of this gateway takes the clients. One that starts beside another waits, ready, until that one is told to
+ * end and gives its turn away; then it opens its door, and only then the other closes its own. A process that dies gives
+ * its turn away as well.
+ */
+final class Handover {
+    private static final System.Logger LOG = System.getLogger("tinford.program");
+
+    /** Clients and connections that come this long after SIGTERM, to one without a successor, are none the wiser. */
+    private static final double CLIENTS_COME = 450;
+
+    /** With one, connections that bring no req meanwhile end this long after SIGTERM: their last req has its full time. */
+    private static final double CLIENTS_STAY = 650;
+
+    private static final double LOOK = 10;
+    private final Desk desk;
+    private final Clients clients;
+    private final Operators operators;
+    private final Turn turn;
+    private final InetSocketAddress at;
+    private final int half;
+    private double leftAt;
+
+    /**
+     * @param operators their door, or null
+     * @param turn shared with the gateway's other process, or null where there is none
+     * @param half of the descriptors, which is all that either of two processes may use
+     */
+    Handover(Desk desk, Clients clients, Operators operators, Turn turn, InetSocketAddress at, int half) {
+        this.desk = desk;
+        this.clients = clients;
+        this.operators = operators;
+        this.turn = turn;
+        this.at = at;
+        this.half = half;
+    }
+
+    /** Opens the door if no other process has the turn. */
+    boolean first() throws IOException {
+        if (turn != null && !turn.take()) {
+            desk.loop.setAside(half);
+            LOG.log(Level.INFO, "another process of this gateway takes the clients; ready to follow it");
+            return false;
+        }
+        clients.listen(at, turn != null);
+        if (turn != null) {
+            boolean alone = turn.alone();
+            if (!alone) {
+                desk.loop.setAside(half);
+            }
+            desk.loop.enter(() -> {
+                opened();
+                if (!alone) {
+                    alone();
+                }
+            });
+        }
+        return true;
+    }
+
+    /** Within a turn of the loop: looks for the end of the other process's turn. */
+    void await() {
+        try {
+            if (turn.take()) {
+                desk.takesOver();
+                clients.listen(at, true);
+                LOG.log(Level.INFO, "the clients come here now");
+                opened();
+                alone();
+                return;
+            }
+        } catch (IOException e) {
+            LOG.log(Level.ERROR, "the clients' address can't be taken over: " + e);
+        }
+        desk.loop.after(LOOK, this::await);
+    }
+
+    private void opened() {
+        try {
+            if (turn.opened()) {
+                return;
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "the other process is not told that this one's door is open: " + e);
+        }
+        desk.loop.after(LOOK / 2, this::opened);
+    }
+
+    /** Once the other process is gone, its descriptors are free. */
+    private void alone() {
+        try {
+            if (turn.alone()) {
+                desk.loop.setAside(-half);
+                return;
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "not seen whether the other process has gone: " + e);
+        }
+        desk.loop.after(10 * LOOK, this::alone);
+    }
+
+    /** At SIGTERM: goes on as before while clients still come, then lets them go, and ends when all is answered. */
+    void leave() {
+        CountDownLatch left = new CountDownLatch(1);
+        desk.loop.enter(() -> {
+            leftAt = System.nanoTime() / 1e6;
+            if (turn == null) {
+                desk.loop.after(CLIENTS_COME, () -> close(left));
+            } else {
+                give(left);
+            }
+        });
+        try {
+            left.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private void give(CountDownLatch left) {
+        try {
+            turn.give();
+            if (turn.succeeded()) {
+                desk.leaves();
+                operators.leaving();
+                desk.loop.setAside(half);
+                LOG.log(Level.INFO, "another process takes the clients");
+                clients.leave(CLIENTS_STAY - since(), left::countDown);
+                return;
+            }
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "not seen whether another process follows: " + e);
+        }
+        if (since() < CLIENTS_COME) {
+            desk.loop.after(LOOK, () -> give(left));
+        } else {
+            close(left);
+        }
+    }
+
+    private void close(CountDownLatch left) {
+        if (operators != null) {
+            operators.leaving();
+        }
+        clients.close(left::countDown);
+    }
+
+    private double since() {
+        return System.nanoTime() / 1e6 - leftAt;
+    }
+}
--- a/src/main/java/tinford/program/Serve.java
+++ b/src/main/java/tinford/program/Serve.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import tinford.api.Gateway;
 import tinford.api.Limits;
 import tinford.handed.BadInput;
@@ -23,16 +22,20 @@
 import tinford.routing.Clients;
 import tinford.routing.Counter;
 import tinford.routing.Desk;
+import tinford.routing.Operators;
 import tinford.routing.Peers;
+import tinford.routing.Record;
 import tinford.routing.Servers;
 import tinford.routing.Watch;
+import tinford.transport.Turn;
 
 /** The gateway as a program: what it is handed, start, new configurations, and its end. */
 public final class Serve {
     private static final System.Logger LOG = System.getLogger("tinford.program");
 
     /** What a new configuration does not change in a gateway that runs. */
-    private static final List<String> FIXED = List.of("listen", "limits", "peer_listen", "peers", "peers_all", "settings");
+    private static final List<String> FIXED = List.of("listen", "limits", "peer_listen", "peers", "peers_all", "management",
+            "settings");
 
     /** Descriptors that are no connections: the jar, the selectors, the listening sockets, the logs. */
     private static final int OWN_DESCRIPTORS = 40;
@@ -40,9 +43,6 @@
     /** Clients hold a third of the descriptors for reqs, as they count them; idle ones go before they get there. */
     private static final int IDLE_PART = 4;
 
-    /** Clients and connections that come this long after SIGTERM are none the wiser. */
-    private static final double CLIENTS_COME = 450;
-
     private Serve() {}
 
     /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
@@ -67,7 +67,8 @@
         Limits limits = Handed.limits(set);
         Fields bounds = set.part("Limits");
         int sockets = (int) given.part("limits").whole("sockets");
-        int most = sockets - OWN_DESCRIPTORS;
+        boolean managed = given.has("management");
+        int most = sockets - OWN_DESCRIPTORS - (managed ? Operators.MOST : 0);
         long bytes = Runtime.getRuntime().maxMemory() / 4; // for buffers, and as much for reqs: half is left
         Desk desk = new Desk(Handed.make(maker, seed(given), set), limits.maxDispatches, most, bytes);
         double connectWithin = bounds.millis("ConnectTimeoutUs");
@@ -83,10 +84,19 @@
         Peers peers = limits.peers ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
                 Addresses.of(given, "peers_all")) : null;
         desk.seat(clients, servers, counter, watch, peers);
-        clients.listen(Addresses.of(given, "listen"));
+        Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
+        Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn)) : null;
+        Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"), sockets / 2);
+        boolean first = handover.first();
         desk.loop.enter(() -> {
             desk.begin();
+            if (managed) {
+                operators.begin();
+            }
             servers.list(known);
+            if (!first) {
+                handover.await();
+            }
             if (counter != null) {
                 counter.connect();
             }
@@ -94,7 +104,10 @@
                 watch.want(true);
             }
         });
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(desk, clients), "leave"));
+        if (managed) {
+            operators.listen(Addresses.of(given, "management"));
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(handover::leave, "leave"));
         // guards against the end that SIGHUP is to a JVM by itself
         onHangUp(() -> reread(json, env.get("ROUTER_CONFIG"), given, desk, counter, watch));
     }
@@ -135,16 +148,28 @@
         }
     }
 
-    /** At SIGTERM: goes on as before while clients still come, then lets them go, and ends when all is answered. */
-    private static void leave(Desk desk, Clients clients) {
-        CountDownLatch left = new CountDownLatch(1);
-        desk.loop.enter(() -> desk.loop.after(CLIENTS_COME, () -> clients.close(left::countDown)));
+    /** Null where no folder is handed that a successor would see: then this process is the only one of its gateway. */
+    private static Turn turn(String folder, String name) {
         try {
-            left.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            return folder == null || folder.isEmpty() ? null : new Turn(Path.of(folder), name);
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "nothing is shared with another process of this gateway: " + e);
+            return null;
         }
-        Runtime.getRuntime().halt(0);
+    }
+
+    private static Record record(Turn turn) {
+        return new Record() {
+            @Override
+            public void add(String line) throws IOException {
+                turn.add(line);
+            }
+
+            @Override
+            public List<String> news() throws IOException {
+                return turn.news();
+            }
+        };
     }
 
     private static Fields read(JsonFactory json, String path) {
--- a/src/main/java/tinford/routing/Backend.java
+++ b/src/main/java/tinford/routing/Backend.java
@@ -7,6 +7,9 @@
 /** A server as the list shows it, with the connections to it. */
 final class Backend extends Srv {
     InetSocketAddress dial;
+    /** As the list has it; {@code state} and {@code born} are what holds, after the operators' calls. */
+    Srv.State listed;
+    double listedBorn;
     /** Connections with nothing in them, the last used first. */
     final ArrayDeque<ServerLink> idle = new ArrayDeque<>();
 
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -166,6 +166,9 @@
         }
         lastUse = clients.desk.now;
         send();
+        if (clients.leaving && closing == null) {
+            closing = Ending.RETIRED; // the client has just read an answer and is not writing yet
+        }
         last();
     }
 
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -37,6 +37,8 @@
     private final Set<Long> ids = new HashSet<>(); // of the reqs that are open
     private Door door;
     private Runnable closed;
+    /** Another process takes the clients: each connection ends behind its next answer. */
+    boolean leaving;
     private int open;
     private long held;
 
@@ -62,15 +64,16 @@
         this.mostHeld = mostHeld;
     }
 
-    public void listen(InetSocketAddress at) throws IOException {
+    /** @param shared another process of this gateway may listen there at the same time */
+    public void listen(InetSocketAddress at, boolean shared) throws IOException {
         look();
-        door = new Door(desk.loop, at, mostLinks, () -> {
+        door = new Door(desk.loop, at, shared, mostLinks, true, () -> {
             // guards those to come: clients hold so many connections at most, also ones that they will not use again
             if (links.size() >= ease) {
                 makeRoom(links.size() >= mostLinks - SPARE ? ClientLink.BUSY : ClientLink.JUST_COME);
             }
             // what is not taken is closed unread, so that its client goes elsewhere
-            if (links.size() >= mostLinks || closed != null) {
+            if (links.size() >= mostLinks) {
                 return null;
             }
             ClientLink link = new ClientLink(this);
@@ -186,9 +189,28 @@
         }
     }
 
+    /**
+     * Another process of this gateway has its door open: this one's closes. Each connection ends right behind its next
+     * answer, when its client is not about to write; the others after {@code stay}.
+     */
+    public void leave(double stay, Runnable then) {
+        leaving = true;
+        while (links.size() > ease && shut()) { } // both processes together have the descriptors of one
+        door.close(() -> { });
+        desk.loop.after(stay, () -> end(then));
+    }
+
+    private boolean shut() {
+        ClientLink l = least(ClientLink.BUSY);
+        return l != null && l.giveWay();
+    }
+
     /** Nobody new is let in, and each connection ends once all that came through it is answered. */
     public void close(Runnable then) {
-        door.close();
+        door.close(() -> end(then));
+    }
+
+    private void end(Runnable then) {
         closed = then;
         for (ClientLink l : new ArrayList<>(links)) {
             l.close(Ending.RETIRED);
--- a/src/main/java/tinford/routing/Desk.java
+++ b/src/main/java/tinford/routing/Desk.java
@@ -56,6 +56,15 @@
         in.started();
     }
 
+    /** Within a round: this process has the reqs of this gateway from another one, or gives them to one. */
+    public void takesOver() {
+        in.takesOver();
+    }
+
+    public void leaves() {
+        in.leaves();
+    }
+
     private void turn() {
         looked = now;
         now = clock.now();
--- /dev/null
+++ b/src/main/java/tinford/routing/Operators.java
@@ -0,0 +1,140 @@
+package tinford.routing;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import tinford.protocol.HttpCall;
+import tinford.protocol.Malformed;
+import tinford.transport.Door;
+import tinford.transport.Ending;
+import tinford.transport.Link;
+
+/** The operators' door: HTTP/1.1, one call to a connection. It has descriptors of its own, so that no crowd shuts it. */
+public final class Operators {
+    /** Connections kept for it. */
+    public static final int MOST = 24;
+    private static final int SPARE = 4; // the oldest call that does not end gives way in time
+    private static final double PATIENCE = 10_000;
+    private static final int MOST_HEAD = 16 << 10;
+    private static final double LOOK = 50; // calls come through the other process as well; they hold within a second
+    private final Desk desk;
+    private final Servers servers;
+    private final Record record;
+    private final ArrayDeque<Call> calls = new ArrayDeque<>();
+    private boolean ready = true;
+
+    /** @param record that the gateway's other process reads as well, or null */
+    public Operators(Desk desk, Servers servers, Record record) {
+        this.desk = desk;
+        this.servers = servers;
+        this.record = record;
+    }
+
+    /** Within a turn, before the first list. */
+    public void begin() {
+        follow();
+        look();
+    }
+
+    public void listen(InetSocketAddress at) throws IOException {
+        new Door(desk.loop, at, false, MOST, false, () -> {
+            if (calls.size() >= MOST - SPARE) {
+                calls.peek().end(Ending.RETIRED);
+            }
+            return new Call();
+        });
+    }
+
+    /** This process takes no more clients. */
+    public void leaving() {
+        ready = false;
+    }
+
+    private void look() {
+        follow();
+        desk.loop.after(LOOK, this::look);
+    }
+
+    private void follow() {
+        try {
+            if (record != null) {
+                record.news().forEach(servers::ban);
+            }
+        } catch (IOException e) {
+            desk.complain(Level.WARNING, "the operators' record", "", e);
+        }
+    }
+
+    /** What is said of it: a status line without the version. */
+    private String answer(HttpCall call) {
+        String[] parts = call.path.split("/");
+        if (call.path.equals("/v1/readyz")) {
+            return !call.method.equals("GET") ? "405 Method Not Allowed" : ready ? "200 OK" : "503 Service Unavailable";
+        }
+        if (parts.length != 5 || !call.path.startsWith("/v1/servers/")
+                || !parts[4].equals("suspend") && !parts[4].equals("resume")) {
+            return "404 Not Found";
+        }
+        if (!call.method.equals("POST")) {
+            return "405 Method Not Allowed";
+        }
+        if (!servers.knows(parts[3])) {
+            return "404 Not Found";
+        }
+        String line = Bans.line(parts[3], parts[4].equals("suspend"), desk.now);
+        try {
+            if (record != null) {
+                record.add(line);
+                follow();
+            } else {
+                servers.ban(line);
+            }
+        } catch (IOException e) {
+            desk.complain(Level.WARNING, "the operators' record", "", e);
+            return "500 Internal Server Error"; // a yes would not outlive this process
+        }
+        return "200 OK";
+    }
+
+    private final class Call extends Link {
+        private boolean answered;
+
+        Call() {
+            super(desk.loop, MOST_HEAD, MOST_HEAD);
+            calls.add(this);
+            desk.loop.after(PATIENCE, () -> end(Ending.SILENT));
+        }
+
+        @Override
+        protected void opened() { }
+
+        @Override
+        protected void received() {
+            if (answered) {
+                return;
+            }
+            try {
+                HttpCall call = HttpCall.read(buf.bytes(), buf.from(), buf.to());
+                if (call != null) {
+                    say(answer(call));
+                }
+            } catch (Malformed e) {
+                say("400 Bad Request");
+            }
+        }
+
+        private void say(String status) {
+            answered = true;
+            buf.take(buf.unread());
+            buf.put("HTTP/1.1 " + status + "\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: "
+                    + (status.length() + 1) + "\r\n\r\n" + status + "\n");
+            finish(Ending.RETIRED);
+        }
+
+        @Override
+        protected void ended(Ending how) {
+            calls.remove(this);
+        }
+    }
+}
--- a/src/main/java/tinford/routing/Servers.java
+++ b/src/main/java/tinford/routing/Servers.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import tinford.api.Srv;
 import tinford.handed.Fields;
 import tinford.protocol.Resp;
@@ -14,9 +16,19 @@
 /** The servers of the list, and the connections to them. */
 public final class Servers {
     private static final double REST = 10; // what was sent in one go has come by then
+    private static final int MOST_NAMES = 4096; // of servers listed once
     final Desk desk;
     final Resp resp = new Resp();
     private final Map<String, Backend> backends = new LinkedHashMap<>();
+    private final Bans bans = new Bans();
+    private final Set<String> listed = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_NAMES;
+        }
+    });
     final double connectWithin;
     private final double idleMost;
     private final int most;
@@ -43,18 +55,22 @@
         hosts.forEach(Servers::check);
         for (Fields e : hosts) {
             Backend b = backends.computeIfAbsent(e.text("host"), Backend::new);
-            b.state = state(e);
+            listed.remove(b.id);
+            listed.add(b.id);
+            b.listed = state(e);
+            b.state = state(b);
             entries.add(b);
             if (b.state == Srv.State.REMOVED) {
                 continue; // of what is gone nothing else needs to be told
             }
             InetSocketAddress dial = Addresses.of(e, "dial");
             double born = e.real("born_ms", 0);
-            if (!dial.equals(b.dial) || born != b.born) {
+            if (!dial.equals(b.dial) || born != b.listedBorn) {
                 retire(b); // these lead to what was there before
             }
             b.dial = dial;
-            b.born = born;
+            b.listedBorn = born;
+            b.born = bans.born(b.id, born);
             b.zone = e.text("site");
             b.cell = (int) e.whole("block", 0);
             b.size = e.real("share", 1);
@@ -71,6 +87,28 @@
         }
     }
 
+    /** What the operators have taken out drains, whatever the list says. */
+    private Srv.State state(Backend b) {
+        return b.listed == Srv.State.UP && bans.holds(b.id) ? Srv.State.DRAINING : b.listed;
+    }
+
+    /** Listed at some time, or taken out or put back before. */
+    boolean knows(String id) {
+        return listed.contains(id) || bans.knows(id);
+    }
+
+    /** Takes a line of the operators' record. */
+    void ban(String line) {
+        Backend b = backends.get(bans.take(line));
+        if (b == null || b.state == state(b)) {
+            return;
+        }
+        b.state = state(b);
+        b.born = bans.born(b.id, b.listedBorn);
+        retire(b);
+        desk.in.listed(List.of(b), false);
+    }
+
     private static Srv.State state(Fields e) {
         return switch (e.text("health")) {
             case "ready" -> Srv.State.UP;
--- a/src/main/java/tinford/transport/Door.java
+++ b/src/main/java/tinford/transport/Door.java
@@ -7,32 +7,42 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.SharedPort;
 
 /** A listening address; each connection that comes in is taken over by a link, or closed where there is none. */
 public final class Door {
-    private final AcceptingChannel<StreamConnection> channel;
+    private final Loop loop;
+    private final SharedPort port;
 
-    /** @param most connections that may be open through it at once; more wait in the backlog until one has ended */
-    public Door(Loop loop, InetSocketAddress at, int most, Supplier<? extends Link> links) throws IOException {
-        channel = loop.worker.createStreamConnectionServer(at, ch -> {
-            try {
-                for (StreamConnection c = ch.accept(); c != null; c = ch.accept()) {
-                    StreamConnection taken = c;
-                    loop.due(() -> take(loop, taken, links));
-                }
-            } catch (IOException e) {
-                // closed meanwhile: nothing more comes in
-            }
-        }, OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 512)
-                .set(Options.CONNECTION_HIGH_WATER, most).set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
-        channel.resumeAccepts();
+    /**
+     * @param shared another process may listen at the same address
+     * @param most connections that may be open through it at once; more wait in the backlog until one has ended
+     * @param pooled its connections count against those of all parties; else {@code most} are kept for it alone
+     */
+    public Door(Loop loop, InetSocketAddress at, boolean shared, int most, boolean pooled,
+            Supplier<? extends Link> links) throws IOException {
+        this.loop = loop;
+        port = SharedPort.open(loop.worker, at, shared, OptionMap.builder().set(Options.TCP_NODELAY, true)
+                .set(Options.BACKLOG, 512).set(Options.CONNECTION_HIGH_WATER, most)
+                .set(Options.CONNECTION_LOW_WATER, most - 1).getMap(), ch -> {
+                    try {
+                        for (StreamConnection c = ch.accept(); c != null; c = ch.accept()) {
+                            StreamConnection taken = c;
+                            loop.due(() -> take(loop, taken, pooled, links));
+                        }
+                    } catch (IOException e) {
+                        // closed meanwhile: nothing more comes in
+                    }
+                });
+        port.resumeAccepts();
     }
 
-    private static void take(Loop loop, StreamConnection c, Supplier<? extends Link> links) {
+    private static void take(Loop loop, StreamConnection c, boolean pooled, Supplier<? extends Link> links) {
         Link link = links.get();
-        if (link != null && loop.takeDescriptor()) {
-            link.holdsDescriptor();
+        if (link != null && (!pooled || loop.takeDescriptor())) {
+            if (pooled) {
+                link.holdsDescriptor();
+            }
             link.adopt(c);
         } else {
             IoUtils.safeClose(c);
@@ -42,7 +52,8 @@
         }
     }
 
-    public void close() {
-        IoUtils.safeClose(channel);
+    /** Nobody new comes in; those whom the machine has let in by now are taken before {@code then}, which is a turn's. */
+    public void close(Loop.Due then) {
+        port.close(() -> loop.enter(() -> loop.due(then)));
     }
 }
--- a/src/main/java/tinford/transport/Loop.java
+++ b/src/main/java/tinford/transport/Loop.java
@@ -126,6 +126,11 @@
         });
     }
 
+    /** So many connections fewer from now on, or more when below 0; those that are open stay. */
+    public void setAside(int connections) {
+        descriptors -= connections;
+    }
+
     boolean takeDescriptor() {
         return descriptors > 0 && descriptors-- > 0;
     }
--- /dev/null
+++ b/src/main/java/tinford/transport/Turn.java
@@ -0,0 +1,100 @@
+package tinford.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What two processes of one gateway share in a folder: whose turn it is to take clients, told by locks that the machine
+ * takes back from a process that dies, and a record of lines. No call waits.
+ */
+public final class Turn {
+    private static final int TAKING = 0;
+    private static final int OPEN = 1;
+    private static final int ALIVE = 2;
+    private static final int MOST_READ = 64 << 10;
+    private final FileChannel locks;
+    private final FileChannel record;
+    private final FileChannel behind; // writes at the end of the record, whoever wrote there last
+    private final FileLock[] held = new FileLock[3];
+    private long read;
+
+    /** @param name of the gateway, so that several may share the folder */
+    public Turn(Path folder, String name) throws IOException {
+        String stem = "tinford-" + name.replaceAll("[^A-Za-z0-9_.-]", "_");
+        locks = FileChannel.open(folder.resolve(stem + ".turn"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        behind = FileChannel.open(folder.resolve(stem + ".record"), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        record = FileChannel.open(folder.resolve(stem + ".record"), StandardOpenOption.READ);
+    }
+
+    private boolean take(int place) throws IOException {
+        if (held[place] == null) {
+            held[place] = locks.tryLock(place, 1, false);
+        }
+        return held[place] != null;
+    }
+
+    private void give(int place) throws IOException {
+        if (held[place] != null) {
+            held[place].release();
+            held[place] = null;
+        }
+    }
+
+    /** Whether the turn is this process's now. */
+    public boolean take() throws IOException {
+        return take(TAKING);
+    }
+
+    /** Said by the one whose turn it is: its door is open. False while the one before it looks: to be said again. */
+    public boolean opened() throws IOException {
+        return take(OPEN);
+    }
+
+    /** Whether the one before this process is gone. */
+    public boolean alone() throws IOException {
+        return take(ALIVE);
+    }
+
+    /** Gives the turn to a successor, if there is one. */
+    public void give() throws IOException {
+        give(TAKING);
+        give(OPEN);
+    }
+
+    /** Whether a successor's door is open; asked by the one that gave the turn. */
+    public boolean succeeded() throws IOException {
+        boolean free = take(OPEN);
+        give(OPEN);
+        return !free;
+    }
+
+    /** One write, so that a line stands whole or not at all. */
+    public void add(String line) throws IOException {
+        behind.write(ByteBuffer.wrap((line + "\n").getBytes(StandardCharsets.UTF_8)));
+    }
+
+    public List<String> news() throws IOException {
+        List<String> found = new ArrayList<>();
+        while (record.size() > read) {
+            ByteBuffer b = ByteBuffer.allocate((int) Math.min(MOST_READ, record.size() - read));
+            int n = record.read(b, read);
+            int stop = n;
+            while (stop > 0 && b.array()[stop - 1] != '\n') {
+                stop--;
+            }
+            if (stop <= 0) {
+                return found; // a line has come in part
+            }
+            found.addAll(new String(b.array(), 0, stop, StandardCharsets.UTF_8).lines().toList());
+            read += stop;
+        }
+        return found;
+    }
+}
--- a/src/test/java/tinford/Bed.java
+++ b/src/test/java/tinford/Bed.java
@@ -13,6 +13,10 @@
     public static class Deaf implements Inbox {
         @Override public void started() { }
 
+        @Override public void takesOver() { }
+
+        @Override public void leaves() { }
+
         @Override public void listed(List<Srv> entries, boolean whole) { }
 
         @Override public void listRefused() { }
--- a/src/test/java/tinford/DecideTest.java
+++ b/src/test/java/tinford/DecideTest.java
@@ -287,6 +287,41 @@
         assertTrue(passed > 0 && passed <= 10, "slice of 2 units a second, from empty, in 5 s: " + passed);
     }
 
+    @DataProvider
+    public Object[][] handovers() {
+        // how long the first process took reqs alone, how long the other has been up by then
+        return new Object[][] {{0, 0}, {2000, 1000}, {6000, 3000}, {20_000, 6000}};
+    }
+
+    /** Two processes of one gateway draw on a ceiling at once: never more than one of them could, whoever is asked. */
+    @Test(dataProvider = "handovers")
+    public void aCeilingHandedOverIsDrawnOnOnce(double alone, double beside) {
+        Plan plan = new Plan("p", 0, 0, 0, 1, 1, 0, 0.004, 20, 1); // a slice of 2 units a second, 10 at most
+        Customer c = Bed.customer(plan);
+        Bed old = new Bed();
+        old.pass(alone);
+        Bed next = new Bed();
+        next.now = old.now;
+        next.pass(beside);
+        old.pass(beside);
+        old.play(in -> in.leaves());
+        next.play(in -> in.takesOver());
+        double most = Math.min(10, (alone + beside) * 0.002), passed = 0;
+        for (int i = 0; i <= 8; i++) {
+            for (Bed bed : new Bed[] {old, next}) {
+                for (int k = 0; k < (i % 4 == 0 ? 12 : 1); k++) {
+                    Req req = bed.req(c, READ, 1);
+                    List<String> said = bed.play(in -> in.arrived(req));
+                    passed += Bed.count(said, "dispatch");
+                    if (Bed.count(said, "dispatch") > 0) bed.ends(req, 0, End.GOOD, true);
+                }
+            }
+            assertTrue(passed <= most + i * 0.5 + 1e-6, passed + " after " + i * 250 + " ms, from " + most);
+            passed += Bed.count(old.pass(250), "dispatch") + Bed.count(next.pass(250), "dispatch");
+        }
+        assertTrue(passed >= 2, "the other one fills: " + passed);
+    }
+
     @Test
     public void theCapOnOpenReqsHolds() {
         Bed bed = new Bed();
--- a/src/test/java/tinford/program/SocketTest.java
+++ b/src/test/java/tinford/program/SocketTest.java
@@ -35,6 +35,7 @@
     private int port;
     private Path config;
     private Path log;
+    private Path shared; // between the processes of one gateway
     private Process gateway;
 
     /** One side of a connection, read value by value. */
@@ -798,4 +799,178 @@
         assertTrue(said.contains("tinford: " + line), said);
         assertFalse(said.contains("\tat "), said);
     }
+
+    /** A process with an operators' door, and its connection to the counter, which says that it is up. */
+    private Process managed(int management, Path to) throws Exception {
+        Files.writeString(config, configuration().replace("\"discovery\"", "\"management\":\"" + at(management)
+                + "\",\"discovery\""));
+        Path before = log;
+        log = to;
+        Process p = start(Map.of("ROUTER_CONFIG", config.toString(), "TMPDIR", shared.toString()));
+        log = before;
+        open.add(p::destroyForcibly);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE);
+        while (!call(management, "GET /v1/readyz").equals("200")) {
+            assertTrue(p.isAlive() && System.nanoTime() < until, "not ready: " + Files.readString(to));
+            Thread.onSpinWait();
+        }
+        return p;
+    }
+
+    private static int free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        }
+    }
+
+    /** The status of the answer, or what went wrong. */
+    private String call(int management, String what) throws IOException {
+        try {
+            Talk t = new Talk(new Socket(InetAddress.getLoopbackAddress(), management));
+            String status = t.say(what + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n").line();
+            t.socket.close();
+            return status == null ? "closed" : status.split(" ")[1];
+        } catch (java.net.ConnectException e) {
+            return "refused";
+        }
+    }
+
+    private void share() throws IOException {
+        shared = Files.createTempDirectory("tinford");
+        open.add(() -> {
+            try (var files = Files.list(shared)) {
+                for (Path p : files.toList()) {
+                    Files.delete(p);
+                }
+            }
+            Files.delete(shared);
+        });
+    }
+
+    private static String[][] operatorsCalls() {
+        return new String[][] {
+            {"GET /v1/readyz", "200"}, {"POST /v1/readyz", "405"}, {"GET /", "404"}, {"GET /v1/servers/s0/suspend", "405"},
+            {"POST /v1/servers/s0/suspend", "200"}, {"POST /v1/servers/s0/resume", "200"}, {"POST /v1/servers/s9/suspend", "404"},
+            {"POST /v1/servers/s9/resume", "404"}, {"POST /v1/servers/s0/stop", "404"}, {"POST /v1/servers/s0", "404"},
+        };
+    }
+
+    /** One process answers all of them, while others hold connections open and finish no call. */
+    @Test
+    public void operatorsAreAnsweredHoweverManyFinishNoCall() throws Exception {
+        share();
+        int management = free();
+        gateway = managed(management, log);
+        for (int i = 0; i < 40; i++) {
+            Talk half = new Talk(new Socket(InetAddress.getLoopbackAddress(), management));
+            if (i % 2 == 0) {
+                half.say("POST /v1/servers/s0/susp");
+            }
+            String[] row = operatorsCalls()[i % operatorsCalls().length];
+            assertEquals(call(management, row[0]), row[1], row[0]);
+        }
+        Talk wrong = new Talk(new Socket(InetAddress.getLoopbackAddress(), management));
+        assertEquals(wrong.say("what\r\n\r\n").line(), "HTTP/1.1 400 Bad Request");
+    }
+
+    /** Whatever discovery says of it meanwhile; back with one call, and its old connections are not used again. */
+    @Test
+    public void aServerTakenOutGetsNothingUntilItIsPutBack() throws Exception {
+        share();
+        int management = free();
+        gateway = managed(management, log);
+        Talk client = client();
+        Talk watch = accept(discovery);
+        watch.line();
+        chunk(watch, "{\"seq\":42,\"whole\":false,\"hosts\":[" + entry(1, servers[1], "ready") + "]}\n", true);
+        while (!call(management, "POST /v1/servers/s1/resume").equals("200")) {
+            Thread.onSpinWait(); // until the list has been read; one that is in stays in
+        }
+        assertEquals(call(management, "POST /v1/servers/s0/suspend"), "200");
+        chunk(watch, "{\"seq\":43,\"whole\":true,\"hosts\":[" + entry(0, servers[0], "ready") + "," + entry(1, servers[1], "ready")
+                + "]}\n", false);
+        for (int i = 0; i < 12; i++) {
+            client.say(ask(i));
+            Talk server = accept(servers[1]);
+            assertTrue(server.hear().contains(id(i)));
+            server.say(value("ok"));
+            assertEquals(client.hear(), "ok");
+            server.socket.close();
+        }
+        assertEquals(call(management, "POST /v1/servers/s0/resume"), "200");
+        assertEquals(call(management, "POST /v1/servers/s1/suspend"), "200");
+        serveAll(servers[0]);
+        String heard = "";
+        for (int i = 20; i < 60 && !heard.startsWith("for"); i++) { // it comes back cold, and earns its reqs one by one
+            heard = client.say(ask(i)).hear();
+        }
+        assertTrue(heard.startsWith("for"), heard);
+    }
+
+    /** A second process beside the first: no client is turned away, what is out is answered, and a ban holds on. */
+    @Test
+    public void aSecondProcessTakesTheClientsOver() throws Exception {
+        share();
+        int management = free();
+        gateway = managed(management, log);
+        Talk client = client();
+        client.say(ask(1));
+        Talk server = accept(servers[0]);
+        server.hear();
+        Talk idle = client();
+        assertEquals(idle.say(command("PING")).hear(), "+PONG");
+        assertEquals(call(management, "POST /v1/servers/s0/suspend"), "200");
+        int other = free();
+        Path otherLog = Files.createTempFile("tinford", ".log");
+        open.add(() -> Files.delete(otherLog));
+        Process next = managed(other, otherLog);
+        assertEquals(call(other, "POST /v1/servers/s9/resume"), "404");
+        gateway.toHandle().destroy();
+        int unheard = 0;
+        for (int i = 0; gateway.isAlive() && i < 5000; i++) { // each on a connection of its own
+            try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                unheard += "+PONG".equals(new Talk(s).say(command("PING")).hear()) ? 0 : 1;
+            } catch (IOException e) {
+                unheard++;
+            }
+            if (i == 200) {
+                server.say(value("taken before"));
+                assertEquals(client.hear(), "taken before");
+                assertEquals(client.hear(), null); // right behind it
+                client.socket.close();
+                assertEquals(idle.hear(), null);
+                idle.socket.close();
+            }
+        }
+        assertTrue(gateway.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
+        assertEquals(gateway.exitValue(), 0);
+        assertTrue(unheard <= 2, unheard + " turned away"); // what comes between the last look and the close
+        assertTrue(Files.readString(otherLog).contains("the clients come here now"));
+        Talk late = client();
+        assertTrue(late.say(ask(2)).hear().startsWith("-BUSY")); // the only server is still out
+        assertEquals(call(other, "POST /v1/servers/s0/resume"), "200");
+        serveAll(servers[0]);
+        String heard = "";
+        for (int i = 3; i < 60 && !heard.startsWith("for"); i++) { // it comes back cold, and earns its reqs one by one
+            heard = late.say(ask(i)).hear();
+        }
+        assertTrue(heard.startsWith("for"), heard);
+        next.destroy();
+    }
+
+    /** One killed outright gives its turn away as well. */
+    @Test
+    public void aKilledProcessIsFollowedByTheOneBesideIt() throws Exception {
+        share();
+        gateway = managed(free(), log);
+        Path otherLog = Files.createTempFile("tinford", ".log");
+        open.add(() -> Files.delete(otherLog));
+        managed(free(), otherLog);
+        assertTrue(Files.readString(otherLog).contains("ready to follow it"));
+        gateway.destroyForcibly().waitFor();
+        while (!Files.readString(otherLog).contains("the clients come here now")) {
+            Thread.onSpinWait(); // ends with the test's own time at the latest
+        }
+        assertEquals(client().say(command("PING")).hear(), "+PONG");
+    }
 }
--- a/src/test/java/tinford/protocol/ProtocolTest.java
+++ b/src/test/java/tinford/protocol/ProtocolTest.java
@@ -214,4 +214,33 @@
                 () -> new HttpLines().read(bytes(text), 0, text.length(), line -> { }));
         assertEquals(m.getMessage(), "expected " + expected);
     }
+
+    @DataProvider
+    public Object[][] calls() {
+        return new Object[][] {
+            {"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n", "GET /v1/readyz"},
+            {"POST /v1/servers/s-1/suspend?why=disk HTTP/1.1\nHost: x\n\nbody", "POST /v1/servers/s-1/suspend"},
+            {"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n", null},
+            {"", null},
+            {"hello\r\n\r\n", "expected METHOD /path HTTP/1.1"},
+            {"GET v1 HTTP/1.1\r\n\r\n", "expected METHOD /path HTTP/1.1"},
+            {"GET /a b HTTP/1.1\r\n\r\n", "expected METHOD /path HTTP/1.1"},
+            {"x".repeat(9000), "expected a head of under 8192 bytes"},
+        };
+    }
+
+    @Test(dataProvider = "calls")
+    public void operatorsCallsAreReadOverAnySplit(String text, String shown) throws Malformed {
+        byte[] all = bytes(text);
+        int head = Math.max(text.indexOf("\r\n\r\n"), text.indexOf("\n\n"));
+        for (int n = 0; head > 0 && n < head; n++) {
+            assertEquals(HttpCall.read(all, 0, n), null);
+        }
+        try {
+            HttpCall call = HttpCall.read(all, 0, all.length);
+            assertEquals(call == null ? null : call.method + " " + call.path, shown);
+        } catch (Malformed e) {
+            assertEquals(e.getMessage(), shown);
+        }
+    }
 }
--- a/src/test/java/tinford/routing/RoutingTest.java
+++ b/src/test/java/tinford/routing/RoutingTest.java
@@ -124,7 +124,7 @@
         try (ServerSocket free = new ServerSocket(0, 1, here)) {
             port = free.getLocalPort();
         }
-        clients.listen(new InetSocketAddress(here, port));
+        clients.listen(new InetSocketAddress(here, port), false);
         try (Socket longest = new Socket(here, port); Socket next = new Socket(here, port)) {
             for (Socket s : List.of(longest, next)) {
                 s.setSoTimeout(10_000);
