Values over 64 KiB are passed on as they come, held back where their client reads slowly

Cause: Resp refuses a bulk over 64 KiB, and ServerLink knows whole answers only.

Change: ServerLink passes a longer first value on in pieces once its client's slot is at the front; it reads no more while 32 KiB wait there (none, while buffers are short). The first bytes are the answer: the decisions hear began, the server has done its work, no time-out counts any more. Cut on the way, the client's connection ends. An answer that comes in pieces is waited for from its last piece on, not its first. Ruled out: holding them (4 MiB each, in a heap of 36), and a copy on disk (counts as memory).

--- a/src/main/java/tinford/Decide.java
+++ b/src/main/java/tinford/Decide.java
@@ -94,7 +94,15 @@
         if (now >= job.reachBy) finish(job, 0); else quotas.ask(job);
     }
 
-    @Override public void began(Req req, int hop) { ((Job) req.notes).begun = true; }
+    @Override public void began(Req req, int no) {
+        Job job = (Job) req.notes;
+        Hop hop = job.hops.get(no);
+        if (job.begun || hop.end != null) return;
+        job.begun = hop.begun = true;
+        // its server has answered; how long the rest takes is its client's doing
+        fleet.learn(hop, End.GOOD, now - hop.at);
+        finished.add(now, 1);
+    }
 
     @Override public void left(Req req) { over((Job) req.notes); }
 
@@ -114,8 +122,8 @@
         Hop hop = job.hops.get(no);
         hop.end = how;
         job.book.open--;
-        fleet.learn(hop, how, took);
-        if (how == End.GOOD || how == End.BROKEN) (how == End.GOOD ? finished : broken).add(now, 1);
+        if (!hop.begun) fleet.learn(hop, how, took);
+        if (!hop.begun && (how == End.GOOD || how == End.BROKEN)) (how == End.GOOD ? finished : broken).add(now, 1);
         if (how == End.GOOD && settled > 0) quotas.settle(job, settled);
         if (closed) over(job); else if (!job.over && !job.running()) again(job, how);
     }
@@ -152,7 +160,7 @@
         final Node node;
         final double at = now;
         End end;
-        boolean late, apart; // past the target; or far past what the fleet takes now
+        boolean late, apart, begun; // past the target; far past what the fleet takes now; its answer flows
 
         Hop(Job job, Node node) { this.job = job; this.node = node; }
     }
--- a/src/main/java/tinford/protocol/Resp.java
+++ b/src/main/java/tinford/protocol/Resp.java
@@ -7,7 +7,8 @@
     private static final int MOST_PARTS = 16;
     private static final int MOST_LINE = 1024;
     private static final int MOST_BULK = 64 << 10;
-    /** A whole value is never longer than this. */
+    private static final int MOST_LONG = 4 << 20;
+    /** A whole value that is read here is never longer than this. */
     public static final int MOST = MOST_BULK + MOST_PARTS * 1100;
 
     private final int[] from = new int[MOST_PARTS];
@@ -18,6 +19,7 @@
     private int parts;
     private int at;
     private int end;
+    private long longValue;
 
     /**
      * Looks for a whole value at the start of the bytes given.
@@ -138,6 +140,60 @@
         return -1;
     }
 
+    /**
+     * Looks for the beginning of a longer answer than is read whole: an array whose first part is such a value. Its
+     * length is then {@link #longValue}, and the result is where its bytes begin, counted from the start; else 0.
+     */
+    public int parseLong(byte[] in, int start, int stop) throws Malformed {
+        bytes = in;
+        at = start;
+        end = stop;
+        if (at >= end || bytes[at] != '*') {
+            return 0;
+        }
+        long n = number(1);
+        if (n < 1 || n > MOST_PARTS || at >= end || bytes[at] != '$') {
+            return 0;
+        }
+        parts = (int) n;
+        longValue = at + 1 < end && bytes[at + 1] == '-' ? 0 : number(1);
+        if (longValue <= MOST_BULK) {
+            return 0;
+        }
+        if (longValue > MOST_LONG) {
+            throw new Malformed("a value of at most " + MOST_LONG + " bytes");
+        }
+        return at - start;
+    }
+
+    public long longValue() {
+        return longValue;
+    }
+
+    /** What stands behind the first value of an array of so many parts: the line end, and the parts that follow. */
+    public int parseRest(int parts, byte[] in, int start, int stop) throws Malformed {
+        bytes = in;
+        at = start;
+        end = stop;
+        this.parts = parts;
+        array = true;
+        if (end - at >= 1 && bytes[at] != '\r' || end - at >= 2 && bytes[at + 1] != '\n') {
+            throw new Malformed("the end of a line behind a value");
+        }
+        kind[0] = '$';
+        from[0] = to[0] = at;
+        at += 2;
+        if (at > end) {
+            return 0;
+        }
+        for (int i = 1; i < parts; i++) {
+            if (!part(i)) {
+                return 0;
+            }
+        }
+        return at - start;
+    }
+
     public byte[] bytes() {
         return bytes;
     }
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -14,6 +14,8 @@
     static final int BUSY = 5;
     private static final double LATELY = 250;
     private static final int MOST_OUT = 1 << 20;
+    private static final int MOST_FLOWING = 32 << 10; // of a value that is passed on as it comes
+    private static final int LEAST_FLOWING = 8 << 10;
     private static final int MOST_WAITING = 64; // commands of one connection; a client opens another when all are busy
     private final Clients clients;
     private Slot first;
@@ -152,6 +154,42 @@
         }
     }
 
+    /** Whether what is put now is this one's answer: those before it are out. */
+    boolean front(Slot s) {
+        return s == first;
+    }
+
+    /** A value too long to be kept begins to flow from there; its client's slot is at the front. */
+    void flow(Slot s, long n, ServerLink from) {
+        s.source = from;
+        buf.put("$").put(n).line();
+    }
+
+    /** A piece of it. False when enough waits to be written: the source hears when to go on. */
+    boolean piece(byte[] b, int from, int n) {
+        buf.put(b, from, n);
+        send();
+        if (buf.unwritten() <= (loop.room().tight() ? 0 : MOST_FLOWING)) {
+            return true;
+        }
+        awaitDrain(LEAST_FLOWING);
+        return false;
+    }
+
+    /** It has flown whole. */
+    void flown() {
+        first.source = null;
+        buf.line();
+        next();
+    }
+
+    @Override
+    protected void drained() {
+        if (first != null && first.source != null) {
+            first.source.goOn();
+        }
+    }
+
     private void keep(Slot s, byte[] answer) {
         s.answer = answer;
         clients.held(answer.length);
@@ -166,6 +204,9 @@
         }
         lastUse = clients.desk.now;
         send();
+        if (first != null && first.source != null) {
+            first.source.goOn(); // what came from there waited for those before it
+        }
         if (clients.leaving && closing == null) {
             closing = Ending.RETIRED; // the client has just read an answer and is not writing yet
         }
@@ -197,6 +238,8 @@
         for (Slot s = first; s != null; s = s.next) {
             if (s.answer != null) {
                 clients.held(-s.answer.length);
+            } else if (s.source != null) {
+                s.source.end(Ending.DROPPED);
             } else if (s.exchange != null && !s.exchange.over) {
                 clients.left(s.exchange);
             }
--- a/src/main/java/tinford/routing/Desk.java
+++ b/src/main/java/tinford/routing/Desk.java
@@ -85,6 +85,15 @@
         }
     }
 
+    /** A long answer begins to flow to its client: that is the req's final answer, and no time counts any more. */
+    void began(Dispatch d) {
+        if (d.cap != null) {
+            d.cap.cancel();
+        }
+        clients.over(d.exchange);
+        in.began(d.exchange, d.no);
+    }
+
     void ended(Dispatch d, End how, int seenUse, double settled, double[] load) {
         if (d.ended) {
             return;
--- a/src/main/java/tinford/routing/ServerLink.java
+++ b/src/main/java/tinford/routing/ServerLink.java
@@ -12,10 +12,17 @@
 /** One connection to a server. It carries one dispatch at a time, so that giving one up costs no other. */
 final class ServerLink extends Link {
     private static final int MOST_OUT = 2 * Resp.MOST;
+    private static final int LEAST_LONG = 16; // bytes that tell the length of a long value
+    private static final int PIECE = 16 << 10;
+    private static final double STILL = 10_000;
     final Backend backend;
     private final Servers servers;
     private Dispatch dispatch;
     private Loop.Timer whole; // runs while an answer has come in part
+    private long toFlow = -1; // bytes of a long value still to be passed on; -1 when none flows
+    private int partsToCome; // of that answer, with the value
+    private boolean flows; // its client has had the beginning
+    private double movedAt; // when some of it last came or left
     double idleSince;
 
     ServerLink(Desk desk, Servers servers, Backend backend) {
@@ -42,15 +49,25 @@
     protected void received() {
         Resp resp = servers.resp;
         try {
+            if (toFlow >= 0) {
+                flow();
+                return;
+            }
+            if (dispatch != null && buf.unread() > LEAST_LONG) {
+                int head = resp.parseLong(buf.bytes(), buf.from(), buf.to());
+                if (head > 0) {
+                    begin(head, resp.longValue(), resp.parts());
+                    return;
+                }
+            }
             int n = resp.parse(buf.bytes(), buf.from(), buf.to());
             if (dispatch == null) {
                 throw new Malformed("an answer to a command only");
             }
             if (n == 0) {
                 // guards against lengths that promise more than comes: the rest of an answer is on its way with it
-                if (whole == null) {
-                    whole = loop.after(servers.connectWithin, () -> end(Ending.MALFORMED));
-                }
+                stop(whole);
+                whole = loop.after(servers.connectWithin, () -> end(Ending.MALFORMED));
                 return;
             }
             answer(resp, n);
@@ -60,21 +77,117 @@
         }
     }
 
+    /**
+     * A value too long to be held: it is passed on as it comes, and its server has done its work with the first bytes. What
+     * follows is slow or quick as its client reads, and nobody's patience counts for it any more.
+     */
+    private void begin(int head, long value, int parts) throws Malformed {
+        Dispatch d = dispatch;
+        stop(whole);
+        whole = null;
+        if (d.exchange.over) { // nobody waits for it
+            end(Ending.DROPPED);
+            return;
+        }
+        buf.take(head);
+        buf.readUpTo(PIECE);
+        toFlow = value;
+        partsToCome = parts;
+        movedAt = servers.desk.now;
+        d.exchange.slot.source = this;
+        servers.desk.began(d);
+        lookAtFlow();
+        flow();
+    }
+
+    /** Its client has room again, or the answers before it are out. */
+    void goOn() {
+        movedAt = servers.desk.now;
+        release();
+        try {
+            flow();
+        } catch (Malformed e) {
+            servers.desk.complain(Level.WARNING, "server", backend.id, e);
+            end(Ending.MALFORMED);
+        }
+    }
+
+    private void flow() throws Malformed {
+        Exchange e = dispatch.exchange;
+        if (!e.client.front(e.slot)) {
+            hold();
+            return;
+        }
+        if (!flows) {
+            flows = true;
+            e.client.flow(e.slot, toFlow, this);
+        }
+        int n = (int) Math.min(toFlow, buf.unread());
+        if (n > 0) {
+            movedAt = servers.desk.now;
+            toFlow -= n;
+            boolean more = e.client.piece(buf.bytes(), buf.from(), n);
+            buf.take(n);
+            if (!more && toFlow > 0) {
+                hold();
+                return;
+            }
+        }
+        if (toFlow > 0) {
+            return;
+        }
+        Resp resp = servers.resp;
+        int rest = resp.parseRest(partsToCome, buf.bytes(), buf.from(), buf.to());
+        if (rest > 0) {
+            toFlow = -1;
+            e.slot.source = null;
+            buf.readUpTo(0);
+            e.client.flown();
+            answered(resp, rest);
+        }
+    }
+
+    /** Guards both sides' connections against a flow that stands still for good. */
+    private void lookAtFlow() {
+        if (over() || toFlow < 0) {
+            return;
+        }
+        if (servers.desk.now - movedAt > STILL) {
+            end(Ending.SILENT);
+        } else {
+            loop.after(STILL / 4, this::lookAtFlow);
+        }
+    }
+
+    private static void stop(Loop.Timer timer) {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
     private void answer(Resp resp, int n) throws Malformed {
+        Dispatch d = dispatch;
+        if (kind(resp) == End.GOOD) {
+            // the first good answer goes to the client as it lies here
+            if (!d.exchange.over) {
+                d.exchange.client.value(d.exchange.slot, resp.bytes(), resp.from(0), resp.length(0));
+            }
+        }
+        answered(resp, n);
+    }
+
+    /** The figures beside an answer, which fills so many bytes of the buffer; the connection may be free again. */
+    private void answered(Resp resp, int n) throws Malformed {
         Dispatch d = dispatch;
         Desk desk = servers.desk;
         End how = kind(resp);
         // guards against a second copy or noise behind a good answer: it must not become the answer of the next command
         boolean clean = buf.unread() == n;
-        String used = "";
-        String load = "";
+        String used;
+        String load;
         if (how == End.GOOD) {
             used = resp.parts() > 1 ? resp.text(1) : "";
             load = resp.parts() > 2 ? resp.text(2) : "";
-            // the first good answer goes to the client as it lies here
-            if (!d.exchange.over) {
-                d.exchange.client.value(d.exchange.slot, resp.bytes(), resp.from(0), resp.length(0));
-            }
         } else {
             String[] words = resp.text(0).split(" ");
             load = words[words.length - 1];
@@ -111,18 +224,23 @@
 
     private void settle() {
         dispatch = null;
-        if (whole != null) {
-            whole.cancel();
-            whole = null;
-        }
+        stop(whole);
+        whole = null;
+        toFlow = -1;
+        flows = false;
     }
 
     @Override
     protected void ended(Ending how) {
         servers.gone(this, how);
         Dispatch d = dispatch;
+        boolean cut = flows;
         settle();
         if (d != null) {
+            d.exchange.slot.source = null;
+            if (cut) {
+                d.exchange.client.end(how); // it has had a part: only an end tells it that no more comes
+            }
             servers.desk.ended(d, Ends.ofDispatch(how, allWritten()), 0, 0, null);
         }
     }
--- a/src/main/java/tinford/routing/Slot.java
+++ b/src/main/java/tinford/routing/Slot.java
@@ -6,4 +6,6 @@
     byte[] answer;
     /** Null for what needs no decision. */
     Exchange exchange;
+    /** Where its answer comes from while that flows, or waits to. */
+    ServerLink source;
 }
--- a/src/main/java/tinford/transport/Buf.java
+++ b/src/main/java/tinford/transport/Buf.java
@@ -18,6 +18,7 @@
     private byte[] bytes = new byte[0];
     private ByteBuffer view = ByteBuffer.wrap(bytes);
     private int inFrom, inTo, outFrom, outTo;
+    private int atRead = READ;
 
     public Buf(Room room) {
         this.room = room;
@@ -52,10 +53,15 @@
         }
     }
 
+    /** How much one read may bring from now on. */
+    public void readUpTo(int bytes) {
+        atRead = Math.max(READ, bytes);
+    }
+
     /** What one read brings: its number of bytes, or -1 at the end. */
     int read(StreamSourceConduit from) throws IOException {
         if ((unwritten() == 0 ? bytes.length : outFrom) - inTo < READ) {
-            arrange(READ, 0);
+            arrange(atRead, 0);
         }
         view.limit(unwritten() == 0 ? bytes.length : outFrom).position(inTo);
         int n = from.read(view);
@@ -133,7 +139,7 @@
     }
 
     private void shrink() {
-        if (bytes.length > KEPT && unread() == 0 && unwritten() == 0) {
+        if (bytes.length > Math.max(KEPT, 2 * atRead) && unread() == 0 && unwritten() == 0) {
             free();
         }
     }
--- a/src/main/java/tinford/transport/Link.java
+++ b/src/main/java/tinford/transport/Link.java
@@ -22,7 +22,8 @@
     private Loop.Timer patience;
     private Ending failing;
     private Ending finishing;
-    private boolean noted, opened, came, dirty, holds, over;
+    private int awaited = -1; // unwritten bytes at which its owner wants to hear of it
+    private boolean noted, opened, came, drained, dirty, holds, over, held;
 
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
     protected Link(Loop loop, int mostUnread, int mostUnwritten) {
@@ -38,6 +39,9 @@
     /** Bytes came; what is not taken is kept. */
     protected abstract void received();
 
+    /** No more is unwritten than was asked for with {@link #awaitDrain}. */
+    protected void drained() { }
+
     /** The last callback of every link. */
     protected abstract void ended(Ending how);
 
@@ -129,11 +133,16 @@
 
     final void flush() {
         dirty = false;
-        if (connection == null || over || buf.unwritten() == 0 && finishing == null) {
+        if (connection == null || over || buf.unwritten() == 0 && finishing == null && awaited < 0) {
             return;
         }
         try {
             buf.write(connection.getSinkChannel().getConduit());
+            if (buf.unwritten() <= awaited) {
+                awaited = -1;
+                drained = true;
+                note();
+            }
             if (buf.unwritten() > mostUnwritten || loop.room.overdrawn() && buf.unwritten() > 0) {
                 fail(Ending.OVERFULL);
             } else if (buf.unwritten() > 0) {
@@ -179,11 +188,36 @@
                 end(Ending.OVERFULL);
             }
         }
+        if (drained && !over) {
+            drained = false;
+            drained();
+        }
         if (failing != null) {
             end(finishing != null ? finishing : failing);
         }
     }
 
+    /** {@link #drained} comes once so few bytes are unwritten, after the end of this turn at the earliest. */
+    public final void awaitDrain(int unwritten) {
+        awaited = unwritten;
+        send();
+    }
+
+    /** Reads no more for now: what is sent meanwhile waits in the machine. */
+    protected final void hold() {
+        if (connection != null && !over) {
+            held = true;
+            connection.getSourceChannel().suspendReads();
+        }
+    }
+
+    protected final void release() {
+        if (held && !over) {
+            held = false;
+            connection.getSourceChannel().resumeReads();
+        }
+    }
+
     /**
      * Ends the sending once all is written, and the connection when the other side has done the same. A close at once
      * could be a reset, before which the last answer would be lost.
--- a/src/main/java/tinford/transport/Loop.java
+++ b/src/main/java/tinford/transport/Loop.java
@@ -126,6 +126,10 @@
         });
     }
 
+    public Room room() {
+        return room;
+    }
+
     /** So many connections fewer from now on, or more when below 0; those that are open stay. */
     public void setAside(int connections) {
         descriptors -= connections;
--- a/src/test/java/tinford/DecideTest.java
+++ b/src/test/java/tinford/DecideTest.java
@@ -287,6 +287,29 @@
         assertTrue(passed > 0 && passed <= 10, "slice of 2 units a second, from empty, in 5 s: " + passed);
     }
 
+    /** A long answer that its client reads slowly is no trouble of its server, and its req has its final answer. */
+    @Test
+    public void whatFlowsIsAnswered() {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(Bed.plan(0, 1, 0, 0));
+        List<Req> flowing = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            Req req = bed.req(c, READ, 1);
+            if (Bed.count(bed.ask(req, 0, 1), "dispatch") == 0) continue;
+            flowing.add(req);
+            bed.now += 50;
+            bed.play(in -> in.began(req, 0));
+        }
+        assertEquals(flowing.size(), 5);
+        assertEquals(Bed.count(bed.pass(20_000), "d"), 0); // neither dispatched again nor denied
+        for (int i = 0; i < 40; i++) { // as many as ever have room beside them
+            Req req = bed.req(c, READ, 1);
+            assertEquals(Bed.count(bed.ask(req, 0, 1), "dispatch"), 1, "req " + i);
+            bed.ends(req, 0, End.GOOD, true);
+        }
+        for (Req req : flowing) assertEquals(bed.ends(req, 0, End.BROKEN, true), List.of());
+    }
+
     @DataProvider
     public Object[][] handovers() {
         // how long the first process took reqs alone, how long the other has been up by then
--- a/src/test/java/tinford/program/SocketTest.java
+++ b/src/test/java/tinford/program/SocketTest.java
@@ -285,6 +285,151 @@
         assertEquals(client.hear(), "v\r\n".repeat(21_000));
     }
 
+    private static String longValue(int n) {
+        return "long\r\n$5\r\n".repeat(n / 10 + 1).substring(0, n);
+    }
+
+    /** The beginning is with the client while the server still holds the rest, whatever pieces it comes in. */
+    @Test
+    public void longValuesFlow() throws Exception {
+        Talk client = up();
+        for (int n : new int[] {65_537, 200_000, 4 << 20}) {
+            String text = longValue(n);
+            client.say(ask(n));
+            Talk server = accept(servers[0]);
+            server.hear();
+            String answer = "*3\r\n$" + n + "\r\n" + text + "\r\n$6\r\ncost=1\r\n$-1\r\n";
+            server.say(answer.substring(0, 5)).say(answer.substring(5, 50));
+            assertEquals(client.line(), "$" + n);
+            assertEquals(new String(client.in.readNBytes(20), StandardCharsets.ISO_8859_1), text.substring(0, 20));
+            Thread rest = new Thread(() -> {
+                try {
+                    for (int at = 50; at < answer.length(); at += 60_000) {
+                        server.say(answer.substring(at, Math.min(answer.length(), at + 60_000)));
+                    }
+                } catch (IOException e) {
+                    // then the client does not get it whole
+                }
+            });
+            rest.start();
+            assertEquals(new String(client.in.readNBytes(n - 20), StandardCharsets.ISO_8859_1), text.substring(20));
+            assertEquals(client.line(), "");
+            rest.join();
+            server.socket.close();
+        }
+    }
+
+    /** Forty that are asked for and not read take next to nothing: they stay with their servers. Others go on. */
+    @Test
+    public void longValuesNobodyReadsStayWhereTheyAre() throws Exception {
+        Talk other = up();
+        String answer = value(longValue(4 << 20));
+        Thread door = new Thread(() -> {
+            try {
+                while (true) {
+                    Talk t = accept(servers[0]);
+                    Thread talk = new Thread(() -> {
+                        try {
+                            boolean small = t.hear().split(" ")[1].equals(id(8));
+                            for (int at = 0; !small && at < answer.length(); at += 1 << 14) {
+                                t.say(answer.substring(at, Math.min(answer.length(), at + (1 << 14))));
+                            }
+                            t.say(small ? value("small") : "");
+                        } catch (IOException e) {
+                            // the gateway has given it up
+                        }
+                    });
+                    talk.setDaemon(true);
+                    talk.start();
+                }
+            } catch (IOException e) {
+                // the test is over
+            }
+        });
+        door.setDaemon(true);
+        door.start();
+        List<Talk> clients = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Talk c = client();
+            clients.add(c.say(ask(100 + i)));
+        }
+        int heard = 0;
+        for (Talk c : clients) {
+            String line = c.line();
+            heard += line.equals("$" + (4 << 20)) ? 1 : 0;
+        }
+        assertTrue(heard >= 3, heard + " were let through"); // as many as the server's limit lets out at once
+        other.say(command("Q.ASK", id(8), id(500), terms("read", "")));
+        String said = other.hear();
+        assertTrue(said.equals("small") || said.startsWith("-BUSY"), said);
+        long first = 0;
+        for (Talk c : clients) {
+            if (c.in.available() > 0) {
+                first = c.in.readNBytes(4 << 20).length;
+                assertEquals(c.line(), ""); // and it comes whole to whoever reads it, however late
+                break;
+            }
+        }
+        assertEquals(first, 4 << 20);
+    }
+
+    @DataProvider
+    public Object[][] cutFlows() {
+        String whole = value(longValue(100_000));
+        return new Object[][] {
+            {whole.substring(0, 70_000), true}, {whole.substring(0, 100_011), true},
+            {whole.replace("$-1\r\n$-1", "noise"), false}, {whole.substring(0, 100_011) + "xx$-1\r\n$-1\r\n", false},
+        };
+    }
+
+    /** Where a part has gone out already, the end of the connection says that it is not whole. */
+    @Test(dataProvider = "cutFlows")
+    public void aFlowThatIsCutEndsItsClientsConnection(String says, boolean closes) throws Exception {
+        Talk client = up();
+        client.say(ask(1));
+        Talk server = accept(servers[0]);
+        server.hear();
+        server.say(says);
+        if (closes) {
+            server.socket.close();
+        }
+        assertEquals(client.line(), "$100000");
+        byte[] got = client.in.readNBytes(100_002);
+        assertTrue(got.length < 100_002, "not whole: " + got.length);
+        Talk next = client();
+        assertEquals(next.say(command("PING")).hear(), "+PONG");
+    }
+
+    /** What flows to a client that goes is not asked for any more; what flows behind another answer waits for it. */
+    @Test
+    public void flowsEndWithTheirClientsAndKeepTheOrder() throws Exception {
+        Talk client = up();
+        client.say(ask(1) + ask(2));
+        Talk a = accept(servers[0]);
+        Talk b = accept(servers[0]);
+        boolean swapped = a.hear().contains(id(2));
+        b.hear();
+        Talk first = swapped ? b : a;
+        Talk second = swapped ? a : b;
+        String text = longValue(70_000);
+        second.say(value(text));
+        client.say(command("PING"));
+        first.say(value("short"));
+        assertEquals(client.hear(), "short");
+        assertEquals(client.hear(), text);
+        assertEquals(client.hear(), "+PONG");
+        second.socket.close();
+        first.socket.close();
+        rest(client);
+        client.say(ask(3));
+        Talk third = accept(servers[0]);
+        third.hear();
+        third.say(value(text).substring(0, 66_000));
+        assertEquals(client.line(), "$70000");
+        client.socket.close();
+        assertEquals(third.hear(), null);
+    }
+
     @DataProvider
     public Object[][] serverAnswers() {
         return new Object[][] {
