A connection whose answer has not left yet does not go for a new one

A probe that logged each end of a client connection: eight at 13.80 to 14.36 s were retired with 7 or 11 bytes unwritten. Answers leave at the end of a turn; a connection that comes in the same turn makes room, and the one just answered counts as between reqs (ClientLink.claim, giveWay). Ruled out: buffers overdrawn (2.1 of 2.6 MB left all the time), SIGTERM (none was closing). Change: what is unwritten counts as in use; a client that does not read its answer in 20 s is ended. Heap where a second process may stand beside: half the memory less 30 MB, no longer 36. Test: an answer and makeRoom in one turn; it fails without the change.

--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -14,7 +14,7 @@
 done < "${ROUTER_CONFIG:-/dev/null}"
 heap=$((${mb:-192} * 3 / 10))
 # where a second process may stand beside this one, both have to fit
-if [ -n "$managed" ] && [ "$heap" -gt $((${mb:-192} / 2 - 36)) ]; then heap=$((${mb:-192} / 2 - 36)); fi
+if [ -n "$managed" ] && [ "$heap" -gt $((${mb:-192} / 2 - 30)) ]; then heap=$((${mb:-192} / 2 - 30)); fi
 if [ "$heap" -lt 10 ]; then heap=10; fi
 # heap, direct buffers, stacks, code and classes in what is given; the whole heap is touched at the start, so that memory
 # is level from then on; collector and compiler for part of a core, no management beans (a fifth of a second at start),
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -13,6 +13,7 @@
     static final int JUST_COME = 4;
     static final int BUSY = 5;
     private static final double LATELY = 250;
+    private static final double UNREAD = 20_000; // a client that does not read its answer by then will not
     private static final int MOST_OUT = 1 << 20;
     private static final int MOST_FLOWING = 32 << 10; // of a value that is passed on as it comes
     private static final int LEAST_FLOWING = 8 << 10;
@@ -41,7 +42,7 @@
      */
     int claim(double now, double silence) {
         double quiet = now - lastUse;
-        if (!idle()) {
+        if (!idle() || buf.unwritten() > 0) { // guards an answer of this very turn, which has not left yet
             return BUSY;
         }
         return closing != null ? 0 : asked ? quiet >= silence ? 2 : 3 : quiet >= LATELY ? 1 : JUST_COME;
@@ -84,6 +85,8 @@
     void look(double now, double silence, double idleMost) {
         if (closing != Ending.MALFORMED && halfSince > 0 && now - halfSince >= silence) {
             refuse(new Malformed("a whole command within " + (long) silence + " ms"));
+        } else if (idle() && buf.unwritten() > 0 && now - lastUse >= UNREAD) {
+            end(Ending.OVERFULL);
         } else if (closing == null && idle() && now - lastUse >= (asked ? idleMost : silence)) {
             giveWay();
         }
@@ -91,7 +94,7 @@
 
     /** Guards a command that has come since the sockets were last read: it counts as taken, and its client as answered. */
     boolean giveWay() {
-        if (closing != null || quiet() || idle()) {
+        if ((closing != null || quiet() || idle()) && buf.unwritten() == 0) {
             end(Ending.RETIRED);
         }
         return over();
--- a/src/test/java/tinford/routing/RoutingTest.java
+++ b/src/test/java/tinford/routing/RoutingTest.java
@@ -150,6 +150,36 @@
         desk.loop.close();
     }
 
+    /** Room is made for a crowd in the very turn in which a req is answered: its answer leaves all the same. */
+    @Test
+    public void anAnswerOfThisTurnIsNotClosedUpon() throws Exception {
+        Clients[] clients = new Clients[1];
+        Gateway gateway = (now, feed, out) -> feed.replay(new Bed.Deaf() {
+            @Override
+            public void arrived(Req req) {
+                out.abort(req);
+                clients[0].makeRoom(ClientLink.BUSY);
+            }
+        });
+        Desk desk = new Desk(gateway, 3, 10, 1 << 20);
+        clients[0] = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false)),
+                Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
+        desk.seat(clients[0], null, null, null, null);
+        InetAddress here = InetAddress.getLoopbackAddress();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, here)) {
+            port = free.getLocalPort();
+        }
+        clients[0].listen(new InetSocketAddress(here, port), false);
+        try (Socket s = new Socket(here, port)) {
+            s.setSoTimeout(10_000);
+            s.getOutputStream().write(("*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000000000000007\r\n$16\r\n0000000000000001\r\n"
+                    + "$13\r\nc=f,t=p,d=900\r\n").getBytes(StandardCharsets.US_ASCII));
+            assertEquals(new String(s.getInputStream().readNBytes(14), StandardCharsets.US_ASCII), "-ERR aborted\r\n");
+        }
+        desk.loop.close();
+    }
+
     /** A call that was given up keeps its place: its late answer is told as such, not taken for the next one's. */
     @Test
     public void lateAnswerOfTheCounterIsNotTheNextOne() throws Exception {
