The configuration is read again where discovery leaves its address and no signal has come

Why signals fail to come is not known; what the gateway did without one is: it held to an address that nobody answers. Change: a watch that ends looks at the time of the configuration file, and reads it when it has changed since. Not taken: looking at the file all the time (operators may write it before they mean it to hold). Test: a move without its signal.

--- a/src/main/java/tinford/program/Serve.java
+++ b/src/main/java/tinford/program/Serve.java
@@ -10,9 +10,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import tinford.api.Gateway;
 import tinford.api.Limits;
 import tinford.handed.BadInput;
@@ -62,6 +64,7 @@
 
     private static void run(Map<String, String> env, Gateway.Maker maker) throws IOException {
         JsonFactory json = new JsonFactory();
+        AtomicReference<FileTime> seen = new AtomicReference<>(written(env.get("ROUTER_CONFIG")));
         Fields given = read(json, env.get("ROUTER_CONFIG"));
         Fields set = given.part("settings");
         Limits limits = Handed.limits(set);
@@ -109,7 +112,17 @@
         }
         Runtime.getRuntime().addShutdownHook(new Thread(handover::leave, "leave"));
         // guards against the end that SIGHUP is to a JVM by itself
-        onHangUp(() -> reread(json, env.get("ROUTER_CONFIG"), given, desk, counter, watch));
+        onHangUp(() -> {
+            seen.set(written(env.get("ROUTER_CONFIG")));
+            reread(json, env.get("ROUTER_CONFIG"), given, desk, counter, watch);
+        });
+        // guards against a signal that comes late or never: discovery leaves the address that it had, and the file says where to
+        watch.whenLost(() -> {
+            FileTime now = written(env.get("ROUTER_CONFIG"));
+            if (now != null && !now.equals(seen.getAndSet(now))) {
+                reread(json, env.get("ROUTER_CONFIG"), given, desk, counter, watch);
+            }
+        });
     }
 
     /** The JDK has no other way to hear a signal, and the compiler warns wherever this one is named; hence by its name. */
@@ -172,6 +185,15 @@
         };
     }
 
+    /** When the configuration was last written, or null. */
+    private static FileTime written(String path) {
+        try {
+            return path == null ? null : Files.getLastModifiedTime(Path.of(path));
+        } catch (IOException e) {
+            return null;
+        }
+    }
+
     private static Fields read(JsonFactory json, String path) {
         if (path == null) {
             throw new BadInput("environment", "ROUTER_CONFIG", "the path of the configuration");
--- a/src/main/java/tinford/routing/Watch.java
+++ b/src/main/java/tinford/routing/Watch.java
@@ -25,6 +25,7 @@
     private long version;
     private boolean wanted;
     private Wire wire;
+    private Runnable lost = () -> { };
 
     /** @param version of the list already known; {@code mustAsk}: a break is told, and the decisions ask again */
     public Watch(Desk desk, InetSocketAddress at, double connectWithin, Servers servers, boolean mustAsk,
@@ -47,6 +48,11 @@
         }
     }
 
+    /** Called whenever the watch has ended without being told to. */
+    public void whenLost(Runnable then) {
+        lost = then;
+    }
+
     /** From now on there; the list held, and its version, stay. */
     public void move(InetSocketAddress to) {
         if (to.equals(at)) {
@@ -153,6 +159,7 @@
             if (!wanted) {
                 return;
             }
+            lost.run();
             if (mustAsk) {
                 wanted = false;
                 desk.in.listRefused();
--- a/src/test/java/tinford/program/SocketTest.java
+++ b/src/test/java/tinford/program/SocketTest.java
@@ -880,6 +880,27 @@
         }
     }
 
+    /** Discovery goes from where it was, and the signal that should have said so before is not heard. */
+    @Test
+    public void aMoveIsFollowedWithoutItsSignal() throws Exception {
+        up();
+        Talk watch = accept(discovery);
+        accept(counter);
+        assertEquals(watch.line(), "GET /registry/instances?watch=1&after=41 HTTP/1.1");
+        chunk(watch, "{\"seq\":43,\"whole\":false,\"hosts\":[]}\n", true);
+        ServerSocket before = discovery;
+        discovery = door();
+        counter = door();
+        Path next = Files.createTempFile("tinford", ".json");
+        Files.writeString(next, configuration());
+        Files.setLastModifiedTime(next, java.nio.file.attribute.FileTime.fromMillis(Files.getLastModifiedTime(config).toMillis() + 1));
+        Files.move(next, config, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        before.close();
+        watch.socket.close();
+        assertEquals(accept(discovery).line(), "GET /registry/instances?watch=1&after=43 HTTP/1.1");
+        accept(counter);
+    }
+
     @DataProvider
     public Object[][] badConfigurations() {
         return new Object[][] {
