Long bodies of clients pass too: read once there is room for the whole, written on in pieces

Design: a command's last part may be 4 MiB; its bytes stay with the client until half of what reqs may hold has room for the whole, in turn; then they are read into an array made once, and leave for the server 32 KiB at a time as it reads. Turned away with -BUSY after 2.3 s without room. Way not taken: passing bytes on before the last has come (the req's time and its quota begin with that byte, and a server's connection would stand open for a slow client). Half a command is now waited for 2.3 s, no longer 2: a client may take 2 s.

--- a/src/main/java/tinford/protocol/Ask.java
+++ b/src/main/java/tinford/protocol/Ask.java
@@ -9,6 +9,8 @@
 /** A client's command: its fields, and its bytes, from which the command to a server is made. */
 public final class Ask {
     private static final int TERMS = 3;
+    private static final int WHOLE = Resp.MOST;
+    private static final int PIECE = 32 << 10;
     private static final Pattern HEX = Pattern.compile("[0-9a-f]{16}");
     public final boolean resendable;
     public final long customer;
@@ -123,10 +125,22 @@
         return raw.length;
     }
 
-    /** The same command, but for how long its sender will wait, in whole milliseconds. */
-    public void write(Buf to, long patience) {
+    /**
+     * The same command, but for how long its sender will wait, in whole milliseconds.
+     *
+     * @return how much of it has been put, counted as {@link #length} counts: the rest of a long one follows in pieces
+     */
+    public int write(Buf to, long patience) {
         String time = Long.toString(patience);
         to.put(raw, 0, termsHead).put("$").put(termsTo - termsFrom - (timeTo - timeFrom) + time.length()).line()
-                .put(raw, termsFrom, timeFrom - termsFrom).put(time).put(raw, timeTo, raw.length - timeTo);
+                .put(raw, termsFrom, timeFrom - termsFrom).put(time);
+        return write(to, timeTo);
+    }
+
+    /** The next piece, from there on. */
+    public int write(Buf to, int at) {
+        int n = raw.length - at <= WHOLE ? raw.length - at : PIECE;
+        to.put(raw, at, n);
+        return at + n;
     }
 }
--- a/src/main/java/tinford/protocol/Resp.java
+++ b/src/main/java/tinford/protocol/Resp.java
@@ -8,8 +8,11 @@
     private static final int MOST_LINE = 1024;
     private static final int MOST_BULK = 64 << 10;
     private static final int MOST_LONG = 4 << 20;
+    private static final int BODY = 4; // a command's last part
     /** A whole value that is read here is never longer than this. */
     public static final int MOST = MOST_BULK + MOST_PARTS * 1100;
+    /** Nor a command with a long body. */
+    public static final int MOST_COMMAND = MOST_LONG + MOST_BULK + MOST_PARTS * 1100;
 
     private final int[] from = new int[MOST_PARTS];
     private final int[] to = new int[MOST_PARTS];
@@ -20,6 +23,18 @@
     private int at;
     private int end;
     private long longValue;
+    private int begun;
+    private int needs;
+    private final boolean longBody;
+
+    public Resp() {
+        this(false);
+    }
+
+    /** @param longBody whether the body of a command may be as long as a long value */
+    public Resp(boolean longBody) {
+        this.longBody = longBody;
+    }
 
     /**
      * Looks for a whole value at the start of the bytes given.
@@ -28,8 +43,10 @@
      */
     public int parse(byte[] in, int start, int stop) throws Malformed {
         bytes = in;
+        begun = start;
         at = start;
         end = stop;
+        needs = 0;
         parts = 1;
         array = at < end && bytes[at] == '*';
         if (array) {
@@ -64,10 +81,12 @@
                 if (n < 0) {
                     return false;
                 }
-                if (n > MOST_BULK) {
-                    throw new Malformed("a value of at most " + MOST_BULK + " bytes");
+                int most = longBody && i == BODY ? MOST_LONG : MOST_BULK;
+                if (n > most) {
+                    throw new Malformed("a value of at most " + most + " bytes");
                 }
                 if (end - at < n + 2) {
+                    needs = n > MOST_BULK ? at - begun + (int) n + 2 : 0;
                     return false;
                 }
                 from[i] = at;
@@ -166,6 +185,11 @@
         return at - start;
     }
 
+    /** After a parse that wants more: how many bytes the whole will have, where a long body is under way; else 0. */
+    public int needs() {
+        return needs;
+    }
+
     public long longValue() {
         return longValue;
     }
--- a/src/main/java/tinford/routing/ClientLink.java
+++ b/src/main/java/tinford/routing/ClientLink.java
@@ -22,13 +22,15 @@
     private Slot first;
     private Slot last;
     private Ending closing; // once everything is answered
+    private int awaited; // bytes of a command for which there is no room yet
+    private int room; // bytes that are kept for a long command
     private int waiting; // commands not answered
     private double halfSince; // a command has come in part, or 0
     private boolean asked; // a whole command has come
     double lastUse;
 
     ClientLink(Clients clients) {
-        super(clients.desk.loop, Resp.MOST, MOST_OUT);
+        super(clients.desk.loop, Resp.MOST_COMMAND, MOST_OUT);
         this.clients = clients;
     }
 
@@ -58,10 +60,14 @@
             while (!over() && closing != Ending.MALFORMED) {
                 int n = resp.parse(buf.bytes(), buf.from(), buf.to());
                 if (n == 0) {
-                    halfSince = buf.unread() == 0 ? 0 : halfSince == 0 ? clients.desk.now : halfSince;
+                    halfSince = buf.unread() == 0 ? 0 : halfSince == 0 || room > 0 ? clients.desk.now : halfSince;
+                    if (resp.needs() > 0) {
+                        expect(resp.needs());
+                    }
                     return;
                 }
                 halfSince = 0;
+                giveRoom();
                 if (!resp.command()) {
                     throw new Malformed("an array of bulk strings");
                 }
@@ -74,17 +80,60 @@
         }
     }
 
+    /** A long body is read once there is room for the whole of it; until then it stays with its client. */
+    private void expect(int bytes) {
+        if (room > 0 || awaited > 0) {
+            return;
+        }
+        awaited = bytes;
+        if (!clients.grant(this)) {
+            hold();
+        }
+    }
+
+    int awaited() {
+        return awaited;
+    }
+
+    void granted() {
+        room = awaited;
+        awaited = 0;
+        halfSince = clients.desk.now;
+        buf.expect(room);
+        release();
+    }
+
+    private void giveRoom() {
+        if (room > 0 || awaited > 0) {
+            int had = room;
+            room = awaited = 0;
+            clients.ungrant(this, had);
+        }
+    }
+
     /** Behind this the stream can't be followed: one line, after the answers still owed, and the end. */
     private void refuse(Malformed e) {
-        say(add(new Slot()), "-ERR " + e.getMessage());
+        lastWord("-ERR " + e.getMessage());
+    }
+
+    /** No room came free for what it wants to send: nothing of it was heard, and it may come again. */
+    private void turnAway() {
+        lastWord("-BUSY");
+    }
+
+    private void lastWord(String line) {
+        giveRoom();
+        say(add(new Slot()), line);
         deaf();
         close(Ending.MALFORMED);
     }
 
     /** Guards the room of others: whoever says nothing, or half a command, for that long has an error line or a close. */
-    void look(double now, double silence, double idleMost) {
-        if (closing != Ending.MALFORMED && halfSince > 0 && now - halfSince >= silence) {
-            refuse(new Malformed("a whole command within " + (long) silence + " ms"));
+    void look(double now, double silence, double half, double idleMost) {
+        if (closing != Ending.MALFORMED && awaited > 0 && now - halfSince >= half) {
+            turnAway();
+        } else if (closing != Ending.MALFORMED && halfSince > 0 && now - halfSince >= half) {
+            refuse(new Malformed("a whole command within " + (long) half + " ms"));
         } else if (idle() && buf.unwritten() > 0 && now - lastUse >= UNREAD) {
             end(Ending.OVERFULL);
         } else if (closing == null && idle() && now - lastUse >= (asked ? idleMost : silence)) {
@@ -238,6 +287,7 @@
     @Override
     protected void ended(Ending how) {
         clients.gone(this);
+        giveRoom();
         for (Slot s = first; s != null; s = s.next) {
             if (s.answer != null) {
                 clients.held(-s.answer.length);
--- a/src/main/java/tinford/routing/Clients.java
+++ b/src/main/java/tinford/routing/Clients.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -20,10 +21,11 @@
 /** The clients' side: their connections, and the reqs that are open. */
 public final class Clients {
     private static final int SPARE = 16; // for those that come while room is made by ends that take their time
-    private static final double SILENCE = 2000; // without a whole command; an error or a close is owed within 3 s
+    private static final double SILENCE = 2000; // from the first; an error or a close is owed within 3 s
+    private static final double HALF = 2300; // with a command come in part: a client may take 2 s for one
     private static final double LOOK = 250;
     final Desk desk;
-    final Resp resp = new Resp();
+    final Resp resp = new Resp(true);
     private final Map<String, Frontend> frontends;
     private final Map<String, Plan> plans;
     private final int gateways;
@@ -35,6 +37,8 @@
     private final long mostHeld;
     private final Set<ClientLink> links = new LinkedHashSet<>();
     private final Set<Long> ids = new HashSet<>(); // of the reqs that are open
+    private final ArrayDeque<ClientLink> unread = new ArrayDeque<>(); // with a command that there is no room for yet
+    private long kept; // for commands under way
     private Door door;
     private Runnable closed;
     /** Another process takes the clients: each connection ends behind its next answer. */
@@ -85,7 +89,7 @@
 
     private void look() {
         for (ClientLink l : new ArrayList<>(links)) {
-            l.look(desk.now, SILENCE, idleMost);
+            l.look(desk.now, SILENCE, HALF, idleMost);
         }
         desk.loop.after(LOOK, this::look);
     }
@@ -111,6 +115,28 @@
         return least;
     }
 
+    /** Room for the command that this link waits to read: at once, or when others have theirs whole, in turn. */
+    boolean grant(ClientLink link) {
+        // half of what reqs may hold: what has come whole needs its place too
+        if (!unread.isEmpty() && unread.peek() != link || kept > 0 && kept + link.awaited() > mostHeld / 2
+                || link.awaited() > mostHeld) {
+            if (!unread.contains(link)) {
+                unread.add(link);
+            }
+            return false;
+        }
+        unread.remove(link);
+        kept += link.awaited();
+        link.granted();
+        return true;
+    }
+
+    void ungrant(ClientLink link, int bytes) {
+        kept -= bytes;
+        unread.remove(link);
+        while (!unread.isEmpty() && grant(unread.peek())) { }
+    }
+
     Exchange exchange(ClientLink from, Ask ask) throws Malformed {
         Frontend frontend = frontends.get(ask.frontend);
         if (frontend == null) {
--- a/src/main/java/tinford/routing/ServerLink.java
+++ b/src/main/java/tinford/routing/ServerLink.java
@@ -12,12 +12,14 @@
 /** One connection to a server. It carries one dispatch at a time, so that giving one up costs no other. */
 final class ServerLink extends Link {
     private static final int MOST_OUT = 2 * Resp.MOST;
+    private static final int LEAST_OUT = 8 << 10;
     private static final int LEAST_LONG = 16; // bytes that tell the length of a long value
     private static final int PIECE = 16 << 10;
     private static final double STILL = 10_000;
     final Backend backend;
     private final Servers servers;
     private Dispatch dispatch;
+    private int put; // of the command, for writing
     private Loop.Timer whole; // runs while an answer has come in part
     private long toFlow = -1; // bytes of a long value still to be passed on; -1 when none flows
     private int partsToCome; // of that answer, with the value
@@ -38,10 +40,31 @@
     void carry(Dispatch d, long patience) {
         dispatch = d;
         d.link = this;
-        d.exchange.ask.write(buf, patience);
+        put = d.exchange.ask.write(buf, patience);
+        more();
         send();
     }
 
+    /** A long command leaves in pieces, as its server reads them. */
+    private void more() {
+        if (put < dispatch.exchange.ask.length()) {
+            awaitDrain(LEAST_OUT);
+        }
+    }
+
+    private boolean left() {
+        return put >= dispatch.exchange.ask.length() && allWritten();
+    }
+
+    @Override
+    protected void drained() {
+        if (dispatch != null) {
+            put = dispatch.exchange.ask.write(buf, put);
+            more();
+            send();
+        }
+    }
+
     @Override
     protected void opened() { }
 
@@ -182,7 +205,7 @@
         Desk desk = servers.desk;
         End how = kind(resp);
         // guards against a second copy or noise behind a good answer: it must not become the answer of the next command
-        boolean clean = buf.unread() == n;
+        boolean clean = buf.unread() == n && left(); // nor may the rest of a command that was answered early
         String used;
         String load;
         if (how == End.GOOD) {
@@ -235,13 +258,14 @@
         servers.gone(this, how);
         Dispatch d = dispatch;
         boolean cut = flows;
+        boolean left = d != null && left();
         settle();
         if (d != null) {
             d.exchange.slot.source = null;
             if (cut) {
                 d.exchange.client.end(how); // it has had a part: only an end tells it that no more comes
             }
-            servers.desk.ended(d, Ends.ofDispatch(how, allWritten()), 0, 0, null);
+            servers.desk.ended(d, Ends.ofDispatch(how, left), 0, 0, null);
         }
     }
 }
--- a/src/main/java/tinford/transport/Buf.java
+++ b/src/main/java/tinford/transport/Buf.java
@@ -13,6 +13,7 @@
 public final class Buf {
     private static final int LEAST = 512;
     private static final int READ = 4096; // room made for one read
+    private static final int DOUBLED = 256 << 10; // beyond it an array is made as long as it has to be
     private static final int KEPT = 16 << 10; // an empty array above this goes back
     private final Room room;
     private byte[] bytes = new byte[0];
@@ -115,12 +116,20 @@
         }
     }
 
+    /** So many bytes will lie here unread: room for them, and for a read behind them, is made once. */
+    public void expect(int unread) {
+        if (unread > unread() && bytes.length < unread + 2 * READ + unwritten()) {
+            arrange(unread - unread() + 2 * READ, 0);
+        }
+    }
+
     private void arrange(int forIn, int forOut) {
         int in = unread();
         int out = unwritten();
         int size = Math.max(LEAST, bytes.length);
-        while (size < in + forIn + out + forOut) {
-            size *= 2;
+        int needed = in + forIn + out + forOut;
+        while (size < needed) {
+            size = needed > DOUBLED ? needed : 2 * size;
         }
         byte[] to = size == bytes.length ? bytes : new byte[size];
         int at = forIn > 0 ? size - out : in;
