An aggregator with gateway/ as it was, and lab/: the decisions in a model of all parties

A test that counted denials raced with its own answers (188 of 200 seen once); it now lets all reqs be read first.

--- a/deploy/Rehearse.java
+++ b/deploy/Rehearse.java
@@ -13,7 +13,7 @@
 
 /**
  * Part of the build: plays a few reqs through the gateway, started as deploy/balancer.toml says, so that the JVM can
- * keep the classes that it loads in target/tinford.jsa. Starts are quicker with that file and the same without it; so
+ * keep the classes that it loads in gateway/target/tinford.jsa. Starts are quicker with that file and the same without it; so
  * what goes wrong here is told, and does not fail the build.
  */
 public final class Rehearse {
@@ -31,7 +31,7 @@
 
     public static void main(String[] args) throws Exception {
         Process gateway = null;
-        Path config = Path.of("target", "rehearsal.json");
+        Path config = Path.of("gateway", "target", "rehearsal.json");
         try {
             ServerSocket server = standIn("*3\r\n$2\r\nok\r\n$6\r\ncost=1\r\n$-1\r\n");
             ServerSocket counter = standIn("$1\r\n1\r\n");
@@ -48,9 +48,9 @@
                     + "\",\"site\":\"a\",\"block\":0,\"health\":\"ready\",\"share\":1,\"born_ms\":0}]},\"settings\":"
                     + SETTINGS + "}");
             ProcessBuilder start = new ProcessBuilder("/bin/sh", "-c", command());
-            start.environment().put("TINFORD_CLASSES", "-XX:ArchiveClassesAtExit=target/tinford.jsa");
+            start.environment().put("TINFORD_CLASSES", "-XX:ArchiveClassesAtExit=gateway/target/tinford.jsa");
             start.environment().put("ROUTER_CONFIG", config.toString());
-            start.redirectOutput(Path.of("target", "rehearsal.log").toFile()).redirectErrorStream(true);
+            start.redirectOutput(Path.of("gateway", "target", "rehearsal.log").toFile()).redirectErrorStream(true);
             gateway = start.start();
             int passed = play(listen);
             gateway.destroy();
--- a/src/test/java/tinford/program/SocketTest.java
+++ b/gateway/src/test/java/tinford/program/SocketTest.java
@@ -685,12 +685,14 @@
     @Test
     public void tooManyAtOnceOnOneConnectionAreDenied() throws Exception {
         Talk client = up();
-        serveAll(servers[0]);
+        Talk other = client();
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < 300; i++) {
             all.append(ask(i));
         }
         client.say(all.toString());
+        rest(other); // all of it has been read before the first is answered, which would make room for one more
+        serveAll(servers[0]);
         int denied = 0;
         for (int i = 0; i < 300; i++) {
             String heard = client.hear();
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/Machine.java
@@ -0,0 +1,146 @@
+package tinford.lab.model;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import tinford.api.End;
+
+/**
+ * A server: some cores, each with one piece of work at a time, and a waiting room; first come, first served. One that has
+ * just started is cold and grows to its full speed evenly.
+ */
+public final class Machine {
+    final String id;
+    final String zone;
+    final int cell;
+    final int cores;
+    private final Agenda agenda;
+    private final int room;
+    private final double speed;
+    private final double coldFrom;
+    private final double coldTime;
+    private final ArrayDeque<Visit> waiting = new ArrayDeque<>();
+    private final Set<Visit> working = new LinkedHashSet<>();
+    private double slower = 1;
+    private boolean up = true;
+    private boolean hangs;
+    /** When it last started, or 0 for long ago. */
+    double born;
+    double busy; // core time spent, in milliseconds
+
+    /** One piece of work and whoever waits for its end. */
+    static final class Visit {
+        final double work;
+        final Consumer<End> then;
+        double began;
+        boolean over;
+
+        Visit(double work, Consumer<End> then) {
+            this.work = work;
+            this.then = then;
+        }
+    }
+
+    Machine(Agenda agenda, String id, String zone, int cell, int cores, int room, double speed, double coldFrom,
+            double coldTime) {
+        this.agenda = agenda;
+        this.id = id;
+        this.zone = zone;
+        this.cell = cell;
+        this.cores = cores;
+        this.room = room;
+        this.speed = speed;
+        this.coldFrom = coldFrom;
+        this.coldTime = coldTime;
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    int inside() {
+        return working.size() + waiting.size();
+    }
+
+    boolean cold() {
+        return born > 0 && agenda.now() - born < coldTime;
+    }
+
+    /** Work of a fresh core that it can do in a millisecond now. */
+    double capacity() {
+        double age = coldTime <= 0 ? 1 : Math.min(1, (agenda.now() - born) / coldTime);
+        return cores * speed * (born > 0 ? coldFrom + (1 - coldFrom) * age : 1) / slower;
+    }
+
+    void come(Visit v) {
+        if (!up) {
+            v.then.accept(End.UNREACHABLE);
+        } else if (working.size() < cores) {
+            begin(v);
+        } else if (waiting.size() < room) {
+            waiting.add(v);
+        } else {
+            v.then.accept(End.FULL);
+        }
+    }
+
+    private void begin(Visit v) {
+        working.add(v);
+        v.began = agenda.now();
+        double takes = v.work * cores / capacity();
+        agenda.after(takes, () -> done(v));
+    }
+
+    private void done(Visit v) {
+        if (v.over) {
+            return; // it went with the machine
+        }
+        v.over = true;
+        working.remove(v);
+        busy += agenda.now() - v.began;
+        if (!hangs) {
+            v.then.accept(End.GOOD);
+        }
+        if (!waiting.isEmpty()) {
+            begin(waiting.poll());
+        }
+    }
+
+    /** Takes back what has not begun. */
+    void withdraw(Visit v) {
+        if (waiting.remove(v)) {
+            v.over = true;
+        }
+    }
+
+    void die() {
+        up = false;
+        List<Visit> all = new ArrayList<>(working);
+        all.addAll(waiting);
+        working.clear();
+        waiting.clear();
+        for (Visit v : all) {
+            v.over = true;
+            v.then.accept(End.BROKEN);
+        }
+    }
+
+    void start() {
+        up = true;
+        hangs = false;
+        born = agenda.now();
+    }
+
+    /** @param times slower than before all troubles, for what begins from now on */
+    void slow(double times) {
+        slower = times;
+    }
+
+    /** Works and gives no answer. */
+    void hang(boolean on) {
+        hangs = on;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/Node.java
@@ -0,0 +1,290 @@
+package tinford.lab.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import tinford.api.End;
+import tinford.api.Gateway;
+import tinford.api.Inbox;
+import tinford.api.Req;
+import tinford.api.Srv;
+import tinford.api.Writer;
+
+/** A gateway: the decisions as they are, and a front that carries what they write over the model's wires. */
+final class Node implements Writer {
+    final int number;
+    private final World world;
+    private final Gateway.Maker maker;
+    private final Map<String, Srv> servers = new HashMap<>();
+    private final Map<String, Double> drainToldAt = new HashMap<>();
+    private List<Consumer<Inbox>> came = new ArrayList<>();
+    private Gateway gateway;
+    private long life;
+    private boolean due;
+    boolean up;
+    boolean cutOff; // from the counter
+    long rounds;
+
+    Node(World world, int number, Gateway.Maker maker) {
+        this.world = world;
+        this.number = number;
+        this.maker = maker;
+    }
+
+    long life() {
+        return life;
+    }
+
+    /** From nothing, but for the list that it had last. */
+    void start(long seed) {
+        life++;
+        up = true;
+        came = new ArrayList<>();
+        due = false;
+        gateway = world.make(maker, seed, number);
+        input(Inbox::started);
+        List<Srv> known = new ArrayList<>();
+        for (Srv old : servers.values()) {
+            Srv s = copy(old);
+            known.add(s);
+        }
+        known.forEach(s -> servers.put(s.id, s));
+        if (known.isEmpty()) {
+            world.machines().forEach(m -> servers.put(m.id, entry(m, Srv.State.UP)));
+        }
+        List<Srv> all = servers.values().stream().sorted((a, b) -> a.id.compareTo(b.id)).toList();
+        input(in -> in.listed(all, true));
+    }
+
+    private static Srv copy(Srv old) {
+        Srv s = new Srv(old.id);
+        s.zone = old.zone;
+        s.cell = old.cell;
+        s.state = old.state;
+        s.size = old.size;
+        s.born = old.born;
+        return s;
+    }
+
+    private static Srv entry(Machine m, Srv.State state) {
+        Srv s = new Srv(m.id);
+        s.zone = m.zone;
+        s.cell = m.cell;
+        s.size = 1;
+        s.state = state;
+        s.born = m.born;
+        return s;
+    }
+
+    void kill() {
+        life++;
+        up = false;
+        gateway = null;
+    }
+
+    /** Plays it with all else that has come by the next tick. */
+    private void input(Consumer<Inbox> call) {
+        came.add(call);
+        if (!due) {
+            due = true;
+            long mine = life;
+            double tick = world.tick();
+            double now = world.agenda.now();
+            world.agenda.after(Math.ceil(now / tick + 1e-9) * tick - now, () -> {
+                if (mine == life) {
+                    round();
+                }
+            });
+        }
+    }
+
+    private void round() {
+        due = false;
+        rounds++;
+        List<Consumer<Inbox>> now = came;
+        came = new ArrayList<>();
+        gateway.round(world.agenda.now(), in -> now.forEach(c -> c.accept(in)), this);
+    }
+
+    /** Only while this very process lives. */
+    private void later(double ms, Consumer<Inbox> call) {
+        long mine = life;
+        world.agenda.after(ms, () -> {
+            if (mine == life && up) {
+                input(call);
+            }
+        });
+    }
+
+    void arrive(Try t) {
+        input(in -> in.arrived(t));
+    }
+
+    void left(Try t) {
+        if (t.life == life && !t.over) {
+            t.over = true;
+            t.left = true;
+            input(in -> in.left(t));
+        }
+    }
+
+    /** Discovery's word of one server. */
+    void listed(Machine m, Srv.State state) {
+        if (!up) {
+            return;
+        }
+        Srv s = servers.computeIfAbsent(m.id, id -> entry(m, state));
+        s.state = state;
+        s.born = m.born;
+        if (state == Srv.State.UP) {
+            drainToldAt.remove(m.id);
+        } else {
+            drainToldAt.putIfAbsent(m.id, world.agenda.now());
+        }
+        if (state == Srv.State.REMOVED) {
+            servers.remove(m.id);
+        }
+        input(in -> in.listed(List.of(s), false));
+    }
+
+    @Override
+    public void dispatch(Req req, Srv srv, double cap) {
+        Try t = (Try) req;
+        double now = world.agenda.now();
+        Machine m = world.machine(srv.id);
+        int no = t.hops.size();
+        boolean first = t.hops.isEmpty();
+        world.oracle.dispatched(t, m, now, drainToldAt.getOrDefault(m.id, Double.POSITIVE_INFINITY), first);
+        if (first) {
+            world.sentOn(t);
+        }
+        Try.Hop hop = new Try.Hop(m, now);
+        t.hops.add(hop);
+        double left = t.expires - world.agenda.now();
+        double wait = cap == 0 ? left : Math.min(cap, left);
+        hop.visit = new Machine.Visit(t.work, end -> {
+            if (end == End.GOOD) {
+                world.ran(t);
+            }
+            world.agenda.after(world.oneWay(), () -> ends(t, no, end));
+        });
+        world.agenda.after(world.oneWay(), () -> {
+            if (hop.end == null || hop.end == End.TIMED_OUT) {
+                world.reaches(m, t, hop.visit);
+            }
+        });
+        world.agenda.after(wait, () -> {
+            if (hop.end == null) {
+                m.withdraw(hop.visit);
+                ends(t, no, End.TIMED_OUT);
+            }
+        });
+    }
+
+    private void ends(Try t, int no, End how) {
+        Try.Hop hop = t.hops.get(no);
+        if (hop.end != null) {
+            return;
+        }
+        hop.end = how;
+        if (t.gatewayGone()) {
+            return;
+        }
+        double now = world.agenda.now();
+        t.tell(now, "hop " + no + " " + how);
+        if (how == End.GOOD && !t.over) {
+            t.over = true;
+            world.oracle.answered(t, "passed", now);
+            world.answer(t, "passed", 0);
+        }
+        boolean closed = t.over;
+        input(in -> in.ended(t, no, how, now - hop.at, closed, 0, 0, null));
+    }
+
+    @Override
+    public void cancel(Req req, int no) {
+        Try t = (Try) req;
+        Try.Hop hop = t.hops.get(no);
+        if (hop.end == null) {
+            hop.to.withdraw(hop.visit);
+            world.agenda.after(0, () -> ends(t, no, End.CANCELLED));
+        }
+    }
+
+    @Override
+    public void deny(Req req, double retryAfter) {
+        finish((Try) req, "denied", retryAfter);
+    }
+
+    @Override
+    public void abort(Req req) {
+        finish((Try) req, "aborted", 0);
+    }
+
+    private void finish(Try t, String answer, double retryAfter) {
+        world.oracle.answered(t, answer, world.agenda.now());
+        if (!t.over) {
+            t.over = true;
+            world.answer(t, answer, retryAfter);
+        }
+    }
+
+    @Override
+    public void alarm(long token, double wait) {
+        later(wait, in -> in.alarm(token));
+    }
+
+    @Override
+    public void probe(Srv srv) {
+        later(0, in -> in.probed(srv, End.VOID, 0, null));
+    }
+
+    @Override
+    public void closeIdle(Srv srv) { } // connections cost nothing in this model
+
+    @Override
+    public void tell(int peer, String text) { } // gateways do not talk in this model
+
+    @Override
+    public void add(long name, double amount, double keep) {
+        double at = world.agenda.now();
+        boolean[] told = {false};
+        world.counted();
+        Consumer<double[]> answer = found -> {
+            if (!told[0]) {
+                told[0] = true;
+                double took = world.agenda.now() - at;
+                End how = End.values()[(int) found[0]];
+                input(in -> in.counted(name, how, took, found[1]));
+            } else if (found[0] == End.GOOD.ordinal()) {
+                input(in -> in.countedLate(name, found[1]));
+            }
+        };
+        long mine = life;
+        world.agenda.after(world.oneWay(), () -> {
+            if (!cutOff) {
+                world.store.add(name, amount, keep, (how, total) -> world.agenda.after(world.oneWay(), () -> {
+                    if (mine == life && up && !cutOff) {
+                        answer.accept(new double[] {how.ordinal(), total});
+                    }
+                }));
+            }
+        });
+        world.agenda.after(world.counterTimeout(), () -> {
+            if (mine == life && up && !told[0]) {
+                answer.accept(new double[] {End.TIMED_OUT.ordinal(), 0});
+            }
+        });
+    }
+
+    @Override
+    public void watch(boolean on) { } // the list is pushed in this model
+
+    @Override
+    public void fetchList() { }
+
+    @Override
+    public void log(String text) { }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/Outcome.java
@@ -0,0 +1,80 @@
+package tinford.lab.model;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** What a run came to. Shares are of value, but for those that say units. */
+public final class Outcome {
+    public final long seed;
+    double offered;
+    double passed;
+    double beyondCost;
+    double unitsOn;
+    double unitsBeyond;
+    long tries;
+    long denied;
+    long aborted;
+    long late;
+    long unanswered;
+    long calls;
+    long things;
+    double load;
+    double seconds;
+    final Histogram took = new Histogram(3_600_000, 3);
+    List<String> broken = List.of();
+    long brokenCount;
+
+    Outcome(long seed) {
+        this.seed = seed;
+    }
+
+    /** Value that had its answer by its target, less what was spent beyond quotas, over what was asked inside them. */
+    public double service() {
+        return offered <= 0 ? Double.NaN : (passed - beyondCost) / offered;
+    }
+
+    public List<String> broken() {
+        return broken;
+    }
+
+    public long brokenCount() {
+        return brokenCount;
+    }
+
+    public long tries() {
+        return tries;
+    }
+
+    public long events() {
+        return things;
+    }
+
+    /** Every try ends once: with one of these. */
+    public boolean conserved() {
+        return tries == took.getTotalCount() + denied + aborted + unanswered;
+    }
+
+    public Map<String, Double> figures() {
+        Map<String, Double> f = new TreeMap<>();
+        f.put("service", service());
+        f.put("denied", share(denied));
+        f.put("aborted", share(aborted));
+        f.put("late", share(late));
+        f.put("unanswered", share(unanswered));
+        f.put("beyond_units", unitsOn == 0 ? 0 : unitsBeyond / unitsOn);
+        f.put("calls_a_try", share(calls));
+        f.put("p50_ms", (double) took.getValueAtPercentile(50));
+        f.put("p99_ms", (double) took.getValueAtPercentile(99));
+        f.put("p999_ms", (double) took.getValueAtPercentile(99.9));
+        f.put("load", load);
+        f.put("tries", (double) tries);
+        f.put("rules_broken", (double) brokenCount);
+        return f;
+    }
+
+    private double share(long n) {
+        return tries == 0 ? 0 : (double) n / tries;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/Store.java
@@ -0,0 +1,89 @@
+package tinford.lab.model;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import tinford.api.End;
+
+/** The counter: numbers by name, each kept for a time, on parts that serve their calls in turn. */
+public final class Store {
+    private final Agenda agenda;
+    private final Part[] parts;
+    private final ContinuousSampler takes;
+    private final int most;
+    private double slower = 1;
+    private boolean silent;
+    long calls;
+
+    private final class Part {
+        final Map<Long, double[]> held = new HashMap<>(); // total, until
+        final ArrayDeque<Runnable> line = new ArrayDeque<>();
+        boolean busy;
+
+        void next() {
+            Runnable call = line.poll();
+            busy = call != null;
+            if (busy) {
+                agenda.after(takes.sample() * slower, () -> {
+                    call.run();
+                    next();
+                });
+            }
+        }
+    }
+
+    /** @param most calls that wait at one part */
+    Store(Agenda agenda, int parts, ContinuousSampler takes, int most) {
+        this.agenda = agenda;
+        this.parts = new Part[parts];
+        for (int i = 0; i < parts; i++) {
+            this.parts[i] = new Part();
+        }
+        this.takes = takes;
+        this.most = most;
+    }
+
+    /** @param then hears of the end, and the total; never, while the counter is silent */
+    void add(long name, double amount, double keep, BiConsumer<End, Double> then) {
+        calls++;
+        if (silent) {
+            return;
+        }
+        Part p = parts[(int) Long.remainderUnsigned(name * 0x9E3779B97F4A7C15L >>> 17, parts.length)];
+        if (p.line.size() >= most) {
+            then.accept(End.FULL, 0.0);
+            return;
+        }
+        p.line.add(() -> {
+            double[] had = p.held.get(name);
+            if (had == null || had[1] < agenda.now()) {
+                had = new double[] {0, agenda.now() + Math.min(60_000, keep)};
+                p.held.put(name, had);
+            }
+            had[0] += amount;
+            double total = had[0];
+            if (!silent) {
+                then.accept(End.GOOD, total);
+            }
+        });
+        if (!p.busy) {
+            p.next();
+        }
+    }
+
+    void silence(boolean on) {
+        silent = on;
+    }
+
+    void empty() {
+        for (Part p : parts) {
+            p.held.clear();
+        }
+    }
+
+    void slow(double times) {
+        slower = times;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/Try.java
@@ -0,0 +1,82 @@
+package tinford.lab.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import tinford.api.Customer;
+import tinford.api.End;
+import tinford.api.Frontend;
+import tinford.api.Req;
+
+/** One try of a client, with its history. */
+final class Try extends Req {
+    final Asked asked;
+    final double work;
+    final double arrived;
+    final Node at;
+    final long life; // of the gateway that took it
+    final List<Hop> hops = new ArrayList<>(1);
+    private final List<String> told = new ArrayList<>(4);
+    int answers;
+    boolean left;
+    boolean over;
+    boolean beyond;
+
+    /** What a client asked for first; its tries belong to it. */
+    static final class Asked {
+        final Customer customer;
+        final Frontend frontend;
+        final double units;
+        final double work;
+        final double value;
+        final boolean inside;
+        int tries;
+        boolean passed;
+
+        Asked(Customer customer, Frontend frontend, double units, double work, boolean inside) {
+            this.customer = customer;
+            this.frontend = frontend;
+            this.units = units;
+            this.work = work;
+            this.inside = inside;
+            this.value = frontend.value * customer.plan.price * units;
+        }
+    }
+
+    /** A dispatch, as the wires show it. */
+    static final class Hop {
+        final Machine to;
+        final double at;
+        Machine.Visit visit;
+        End end;
+
+        Hop(Machine to, double at) {
+            this.to = to;
+            this.at = at;
+        }
+    }
+
+    Try(long id, Asked asked, Node at, double now, boolean resent) {
+        super(id, asked.frontend, asked.customer, now + asked.frontend.timeout, asked.units, resent);
+        this.asked = asked;
+        this.work = asked.work;
+        this.at = at;
+        this.life = at.life();
+        this.arrived = now;
+    }
+
+    boolean mayHaveRun() {
+        return hops.stream().anyMatch(h -> h.end == null || h.end.mayHaveRun);
+    }
+
+    boolean gatewayGone() {
+        return at.life() != life;
+    }
+
+    void tell(double now, String what) {
+        told.add(Math.round(now - arrived) + " ms " + what);
+    }
+
+    String story() {
+        return "req " + id + " (" + frontend.name + ", " + customer.plan.name + "): " + String.join(", ", told);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -0,0 +1,362 @@
+package tinford.lab.model;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import tinford.api.CounterTerms;
+import tinford.api.Customer;
+import tinford.api.Effect;
+import tinford.api.Frontend;
+import tinford.api.Gateway;
+import tinford.api.Goal;
+import tinford.api.Group;
+import tinford.api.Limits;
+import tinford.api.Place;
+import tinford.api.Plan;
+import tinford.api.Rules;
+import tinford.api.Srv;
+import tinford.lab.scenario.Scenario;
+
+/** One run: the parties of a scenario, put together, with what goes wrong, from start to end. */
+public final class World {
+    private static final double START = 1_000_000; // no party's clock begins at nought
+    private static final double SETTLES = 2; // times the longest timeout that is waited for the last answers
+    private static final double NOTICE = 2000; // reqs that would come to a dead gateway go on coming so long
+    final Agenda agenda = new Agenda(START);
+    final Oracle oracle;
+    final Store store;
+    private final Scenario s;
+    private final Streams streams;
+    private final UniformRandomProvider wires;
+    private final UniformRandomProvider callers;
+    private final UniformRandomProvider seeds;
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Frontend> frontends = new ArrayList<>();
+    private final Map<Frontend, ContinuousSampler> work = new HashMap<>();
+    private final List<Customer> customers = new ArrayList<>();
+    private final double[] asks; // units a millisecond, summed up to each customer
+    private final Map<Customer, Bucket> offered = new HashMap<>();
+    private final Map<Customer, Bucket> used = new HashMap<>();
+    private final Outcome outcome;
+    private double rise = 1;
+    private long ids;
+
+    public World(Scenario s, long seed, Gateway.Maker maker) {
+        this.s = s;
+        this.streams = new Streams(seed);
+        this.outcome = new Outcome(seed);
+        this.wires = streams.of("wires");
+        this.callers = streams.of("callers");
+        this.seeds = streams.of("gateways");
+        this.oracle = new Oracle(s.rules().drain_grace(), s.rules().fall_multiple(), s.rules().fall_time());
+        this.store = new Store(agenda, s.counter().parts(),
+                ZigguratSampler.Exponential.of(streams.of("counter"), s.counter().takes()), s.counter().line());
+        UniformRandomProvider speeds = streams.of("speeds");
+        for (int i = 0; i < s.servers().count(); i++) {
+            double speed = s.servers().speed() * (1 + s.servers().speed_spread() * (2 * speeds.nextDouble() - 1));
+            String id = String.format("s%04d", i);
+            machines.put(id, new Machine(agenda, id, s.servers().zones().get(i % s.servers().zones().size()), i % 8,
+                    s.servers().cores(), s.servers().room(), speed, s.servers().cold_from(), s.servers().cold_time()));
+        }
+        for (Scenario.Frontend f : s.frontends()) {
+            Frontend made = new Frontend(f.name(), f.target(), f.timeout(), f.value(), 0, Effect.valueOf(f.effect().name()),
+                    Group.CELL, f.repeat_window(), false);
+            frontends.add(made);
+            work.put(made, f.dist().of(streams.of("work " + f.name()), f.work(), f.cv()));
+        }
+        asks = customers();
+        for (int i = 0; i < s.gateways(); i++) {
+            nodes.add(new Node(this, i, maker));
+        }
+    }
+
+    private double[] customers() {
+        UniformRandomProvider draw = streams.of("customers");
+        double shares = s.plans().stream().mapToDouble(Scenario.Plan::share).sum();
+        List<Plan> plans = new ArrayList<>();
+        for (Scenario.Plan p : s.plans()) {
+            plans.add(new Plan(p.name(), p.rate() / 1000, p.burst(), p.max_out(), p.price(), p.beyond_value(), p.beyond_cost(),
+                    p.ceiling() / 1000, p.ceiling_burst(), p.slack()));
+        }
+        double[] sums = new double[s.clients().customers()];
+        double sum = 0;
+        for (int i = 0; i < sums.length; i++) {
+            double at = draw.nextDouble() * shares;
+            int k = 0;
+            while (k < plans.size() - 1 && at >= s.plans().get(k).share()) {
+                at -= s.plans().get(k++).share();
+            }
+            customers.add(new Customer(i + 1, plans.get(k), s.clients().spread(), draw.nextInt(s.gateways())));
+            boolean heavy = draw.nextDouble() < s.clients().heavy();
+            double use = heavy ? s.clients().heavy_times() : s.clients().use() * 2 * draw.nextDouble();
+            sum += use * plans.get(k).rate;
+            sums[i] = sum;
+        }
+        return sums;
+    }
+
+    public Outcome run() {
+        for (Node n : nodes) {
+            n.start(seeds.nextLong());
+        }
+        double end = START + s.length_s() * 1000;
+        double mean = (1 + s.clients().largest()) / 2;
+        ContinuousSampler gap = ZigguratSampler.Exponential.of(streams.of("arrivals"), mean / asks[asks.length - 1]);
+        arrive(gap, streams.of("asked"), end);
+        UniformRandomProvider faults = streams.of("faults");
+        for (Scenario.Fault f : s.faults()) {
+            agenda.after(f.at_s() * 1000, () -> begin(f, faults));
+        }
+        double longest = frontends.stream().mapToDouble(f -> f.timeout).max().orElse(0);
+        agenda.run(end);
+        double busy = machines.values().stream().mapToDouble(m -> m.busy).sum();
+        outcome.load = busy / (s.length_s() * 1000 * s.servers().count() * s.servers().cores());
+        agenda.run(end + SETTLES * longest);
+        outcome.broken = Collections.unmodifiableList(oracle.broken());
+        outcome.brokenCount = oracle.count();
+        outcome.things = agenda.done();
+        return outcome;
+    }
+
+    private void arrive(ContinuousSampler gap, UniformRandomProvider draw, double end) {
+        double next = gap.sample() / rise;
+        if (agenda.now() + next > end) {
+            return;
+        }
+        agenda.after(next, () -> {
+            Customer c = customers.get(pick(draw.nextDouble() * asks[asks.length - 1]));
+            Frontend f = frontend(draw.nextDouble());
+            double units = 1 + draw.nextInt((int) s.clients().largest());
+            double works = work.get(f).sample();
+            boolean inside = offered.computeIfAbsent(c, k -> new Bucket(c.plan.rate, c.plan.burst, agenda.now()))
+                    .take(units, agenda.now());
+            Try.Asked asked = new Try.Asked(c, f, units, works, inside);
+            if (inside) {
+                outcome.offered += asked.value;
+            }
+            send(asked, draw.nextInt(c.width), draw.nextDouble() < s.clients().leave() ? draw.nextDouble() : 1);
+            arrive(gap, draw, end);
+        });
+    }
+
+    private int pick(double at) {
+        int low = 0;
+        int high = asks.length - 1;
+        while (low < high) {
+            int mid = (low + high) >>> 1;
+            if (asks[mid] > at) {
+                high = mid;
+            } else {
+                low = mid + 1;
+            }
+        }
+        return low;
+    }
+
+    private Frontend frontend(double at) {
+        double left = at * s.frontends().stream().mapToDouble(Scenario.Frontend::share).sum();
+        for (int i = 0; i < frontends.size(); i++) {
+            left -= s.frontends().get(i).share();
+            if (left < 0) {
+                return frontends.get(i);
+            }
+        }
+        return frontends.get(frontends.size() - 1);
+    }
+
+    /** @param way which of its customer's gateways; {@code stays} the share of its patience that the client has */
+    private void send(Try.Asked asked, int way, double stays) {
+        int at = (asked.customer.first + way) % nodes.size();
+        asked.tries++;
+        outcome.tries++;
+        Node n = nodes.get(at);
+        if (!n.up) {
+            // nobody hears it: the front has not noticed yet
+            outcome.unanswered++;
+            again(asked, NOTICE);
+            return;
+        }
+        Try t = new Try(++ids, asked, n, agenda.now(), asked.tries > 1);
+        n.arrive(t);
+        if (stays < 1) {
+            agenda.after(stays * t.frontend.timeout, () -> {
+                if (!t.over && !t.gatewayGone()) {
+                    outcome.unanswered++;
+                    n.left(t);
+                }
+            });
+        }
+        agenda.after(t.frontend.timeout + 100, () -> {
+            if (!t.over) {
+                t.over = true;
+                outcome.unanswered++;
+                oracle.expired(t, agenda.now());
+            }
+        });
+    }
+
+    /** The final answer of a try, as its client has it. */
+    void answer(Try t, String answer, double retryAfter) {
+        if (answer.equals("passed")) {
+            double took = agenda.now() - t.arrived;
+            outcome.took.recordValue(Math.min(3_600_000, Math.round(took)));
+            if (took > t.frontend.target) {
+                outcome.late++;
+            } else if (!t.asked.passed) {
+                t.asked.passed = true;
+                outcome.passed += t.asked.value * (t.beyond ? t.customer.plan.beyondValue : 1);
+            }
+            return;
+        }
+        if (answer.equals("denied")) {
+            outcome.denied++;
+        } else {
+            outcome.aborted++;
+        }
+        boolean honours = callers.nextDouble() < s.clients().honour();
+        if (answer.equals("denied")) {
+            again(t.asked, honours && retryAfter > 0 ? retryAfter : s.clients().backoff());
+        }
+    }
+
+    private void again(Try.Asked asked, double ms) {
+        if (asked.tries <= s.clients().retries()) {
+            int way = callers.nextInt(asked.customer.width);
+            agenda.after(ms, () -> send(asked, way, 1));
+        }
+    }
+
+    /** The first dispatch of a try leaves: it is inside its quota, and takes its units, or beyond it. */
+    void sentOn(Try t) {
+        Customer c = t.customer;
+        outcome.unitsOn += t.units;
+        t.beyond = !used.computeIfAbsent(c, k -> new Bucket(c.plan.rate, c.plan.burst, agenda.now())).take(t.units, agenda.now());
+        if (t.beyond) {
+            outcome.unitsBeyond += t.units;
+            outcome.beyondCost += t.asked.value * c.plan.beyondCost;
+        }
+    }
+
+    void ran(Try t) {
+        t.tell(agenda.now(), "ran");
+    }
+
+    void reaches(Machine m, Try t, Machine.Visit v) {
+        if (m.up() && oracle.arrives(m, t.work, agenda.now())) {
+            m.die();
+        }
+        m.come(v);
+    }
+
+    void counted() {
+        outcome.calls++;
+    }
+
+    private void begin(Scenario.Fault f, UniformRandomProvider draw) {
+        double ms = f.for_s() * 1000;
+        switch (f.kind()) {
+            case SERVERS_DIE -> some(machines.values(), f.part(), draw).forEach(m -> {
+                m.die();
+                agenda.after(ms, () -> {
+                    m.start();
+                    list(m, Srv.State.UP);
+                });
+            });
+            case SERVERS_SLOW -> some(machines.values(), f.part(), draw).forEach(m -> {
+                m.slow(f.size());
+                agenda.after(ms, () -> m.slow(1));
+            });
+            case SERVERS_HANG -> some(machines.values(), f.part(), draw).forEach(m -> {
+                m.hang(true);
+                agenda.after(ms, () -> m.hang(false));
+            });
+            case FLEET_SHRINKS -> {
+                List<Machine> gone = some(machines.values(), f.part(), draw);
+                for (int i = 0; i < gone.size(); i++) {
+                    Machine m = gone.get(i);
+                    agenda.after(ms * i / gone.size(), () -> {
+                        list(m, Srv.State.DRAINING);
+                        agenda.after(2000 + s.net().list_late(), () -> {
+                            list(m, Srv.State.REMOVED);
+                            m.die();
+                        });
+                    });
+                }
+            }
+            case COUNTER_SILENT -> {
+                store.silence(true);
+                agenda.after(ms, () -> {
+                    store.silence(false);
+                    if (f.size() > 0) {
+                        store.empty();
+                    }
+                });
+            }
+            case COUNTER_SLOW -> {
+                store.slow(f.size());
+                agenda.after(ms, () -> store.slow(1));
+            }
+            case COUNTER_SPLIT -> some(nodes, f.part(), draw).forEach(n -> {
+                n.cutOff = true;
+                agenda.after(ms, () -> n.cutOff = false);
+            });
+            case GATEWAYS_DIE -> some(nodes, f.part(), draw).forEach(n -> {
+                n.kill();
+                agenda.after(ms, () -> n.start(seeds.nextLong()));
+            });
+            case LOAD_RISES -> {
+                rise = f.size();
+                agenda.after(ms, () -> rise = 1);
+            }
+        }
+    }
+
+    private static <T> List<T> some(java.util.Collection<T> all, double part, UniformRandomProvider draw) {
+        List<T> mixed = new ArrayList<>(all);
+        ListSampler.shuffle(draw, mixed);
+        return mixed.subList(0, Math.max(1, (int) Math.round(part * mixed.size())));
+    }
+
+    /** Discovery tells each gateway in its own time. */
+    private void list(Machine m, Srv.State state) {
+        for (Node n : nodes) {
+            agenda.after(s.net().list_late() * (0.5 + wires.nextDouble() / 2), () -> n.listed(m, state));
+        }
+    }
+
+    java.util.Collection<Machine> machines() {
+        return machines.values();
+    }
+
+    Machine machine(String id) {
+        return machines.get(id);
+    }
+
+    double tick() {
+        return s.tick();
+    }
+
+    double oneWay() {
+        return s.net().one_way() * (1 + s.net().jitter() * (2 * wires.nextDouble() - 1));
+    }
+
+    double counterTimeout() {
+        return s.counter().timeout();
+    }
+
+    Gateway make(Gateway.Maker maker, long seed, int number) {
+        return maker.make(seed, new Place(number, s.gateways(), s.servers().zones().get(number % s.servers().zones().size()),
+                s.tick()), new Limits(s.rules().max_dispatches(), false, true, false, false, s.rules().max_retry_after()),
+                new Rules(s.servers().cold_from(), s.servers().cold_time(), s.rules().fall_multiple(), s.rules().fall_time()),
+                new CounterTerms(s.counter().present(), s.counter().timeout(), s.clients().largest(), false),
+                new Goal(0.7, 0.3), false);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/study/Versions.java
@@ -0,0 +1,97 @@
+package tinford.lab.study;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.InvocationTargetException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import tinford.Decide;
+import tinford.api.CounterTerms;
+import tinford.api.Gateway;
+import tinford.api.Goal;
+import tinford.api.Limits;
+import tinford.api.Place;
+import tinford.api.Rules;
+
+/** The decisions of another version, from its jar: its own classes of the module, behind the interface of this one. */
+public final class Versions {
+    private static final String MODULE = "tinford.Decide";
+
+    private Versions() {}
+
+    /** What is wrong with a jar. */
+    public static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Bad(String message) {
+            super(message);
+        }
+    }
+
+    public static Gateway.Maker here() {
+        return Decide::new;
+    }
+
+    /** @param jar as a build leaves it; it stays open for the life of the process */
+    public static Gateway.Maker of(Path jar) throws Bad {
+        if (!Files.isRegularFile(jar)) {
+            throw new Bad(jar + ": expected the jar of a gateway");
+        }
+        try {
+            Class<?> module = new Own(jar).loadClass(MODULE);
+            Constructor<?> make = module.getConstructor(long.class, Place.class, Limits.class, Rules.class, CounterTerms.class,
+                    Goal.class, boolean.class);
+            if (!Gateway.class.isAssignableFrom(module)) {
+                throw new Bad(jar + ": " + MODULE + ": expected the interface of this version");
+            }
+            return (seed, place, limits, rules, counter, goal, mustAsk) -> {
+                try {
+                    return (Gateway) make.newInstance(seed, place, limits, rules, counter, goal, mustAsk);
+                } catch (InvocationTargetException e) {
+                    throw new IllegalStateException(jar + ": " + e.getCause(), e.getCause());
+                } catch (ReflectiveOperationException e) {
+                    throw new IllegalStateException(jar + ": " + e, e);
+                }
+            };
+        } catch (ClassNotFoundException e) {
+            throw new Bad(jar + ": expected " + MODULE + " in it");
+        } catch (NoSuchMethodException | LinkageError e) {
+            throw new Bad(jar + ": " + MODULE + ": expected the interface of this version: " + e.getMessage());
+        } catch (IOException e) {
+            throw new Bad(jar + ": expected a jar that can be read: " + e.getMessage());
+        }
+    }
+
+    /** The module's classes from the jar, all else from here. */
+    private static final class Own extends URLClassLoader {
+        Own(Path jar) throws IOException {
+            super(new URL[] {jar.toUri().toURL()}, Versions.class.getClassLoader());
+        }
+
+        @Override
+        protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
+            if (!name.equals(MODULE) && !name.startsWith(MODULE + "$")) {
+                return super.loadClass(name, resolve);
+            }
+            synchronized (getClassLoadingLock(name)) {
+                Class<?> known = findLoadedClass(name);
+                if (known != null) {
+                    return known;
+                }
+                URL at = findResource(name.replace('.', '/') + ".class");
+                if (at == null) {
+                    throw new ClassNotFoundException(name);
+                }
+                try (InputStream in = at.openStream()) {
+                    byte[] b = in.readAllBytes();
+                    return defineClass(name, b, 0, b.length);
+                } catch (IOException e) {
+                    throw new ClassNotFoundException(name, e);
+                }
+            }
+        }
+    }
+}
