--- a/lab/src/main/java/tinford/lab/model/Node.java
+++ b/lab/src/main/java/tinford/lab/model/Node.java
@@ -274,6 +274,7 @@
         });
         world.agenda.after(world.counterTimeout(), () -> {
             if (mine == life && up && !told[0]) {
+                world.unanswered();
                 answer.accept(new double[] {End.TIMED_OUT.ordinal(), 0});
             }
         });
--- a/lab/src/main/java/tinford/lab/model/Outcome.java
+++ b/lab/src/main/java/tinford/lab/model/Outcome.java
@@ -19,6 +19,7 @@
     long late;
     long unanswered;
     long calls;
+    long callsUnanswered;
     long things;
     double load;
     double seconds;
@@ -65,6 +66,7 @@
         f.put("unanswered", share(unanswered));
         f.put("beyond_units", unitsOn == 0 ? 0 : unitsBeyond / unitsOn);
         f.put("calls_a_try", share(calls));
+        f.put("calls_unanswered", calls == 0 ? 0 : (double) callsUnanswered / calls);
         f.put("p50_ms", (double) took.getValueAtPercentile(50));
         f.put("p99_ms", (double) took.getValueAtPercentile(99));
         f.put("p999_ms", (double) took.getValueAtPercentile(99.9));
--- a/lab/src/main/java/tinford/lab/model/World.java
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -260,6 +260,10 @@
         outcome.calls++;
     }
 
+    void unanswered() {
+        outcome.callsUnanswered++;
+    }
+
     private void begin(Scenario.Fault f, UniformRandomProvider draw) {
         double ms = f.for_s() * 1000;
         switch (f.kind()) {
