--- a/lab/src/main/java/tinford/lab/Lab.java
+++ b/lab/src/main/java/tinford/lab/Lab.java
@@ -20,14 +20,17 @@
 import picocli.CommandLine.Spec;
 import tinford.api.Gateway;
 import tinford.lab.model.Outcome;
+import tinford.lab.model.World;
 import tinford.lab.scenario.Scenario;
+import tinford.lab.scenario.Trace;
+import tinford.lab.study.Plot;
 import tinford.lab.study.Study;
 import tinford.lab.study.Versions;
 
 /** The laboratory's command line. Exit codes: 0 done, 1 a rule was broken, 2 wrong words, 3 bad input. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "tinford lab 0.1",
         description = "Tries the decisions of tinford in a model of clients, servers and counter.",
-        subcommands = {Lab.Run.class, Lab.Compare.class})
+        subcommands = {Lab.Run.class, Lab.Compare.class, Lab.Sweep.class, Lab.Record.class})
 public final class Lab {
     static final int RULE_BROKEN = 1;
     static final int BAD_INPUT = 3;
@@ -71,14 +74,31 @@
         @Option(names = "--json", description = "a file for the same with the means")
         Path json;
 
+        @Option(names = "--set", paramLabel = "KEY=VALUE", description = "a value in place of the scenario's, such as servers.count=12")
+        Map<String, String> set = new LinkedHashMap<>();
+
+        @Option(names = "--trace", description = "recorded traffic to replay in place of drawn reqs")
+        Path trace;
+
+        @Option(names = "--rate", defaultValue = "1", description = "replays it so many times as quick (${DEFAULT-VALUE})")
+        double rate;
+
         @Spec
         CommandSpec spec;
 
         Study study() throws Scenario.Bad {
+            return study(set);
+        }
+
+        Study study(Map<String, String> changes) throws Scenario.Bad {
             if (runs < 1 || threads < 1 || !(level > 0 && level < 1)) {
                 throw new CommandLine.ParameterException(spec.commandLine(), "--runs and --threads from 1, --level between 0 and 1");
             }
-            return new Study(Scenario.read(scenario), threads);
+            if (!(rate > 0 && rate < 1e6)) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "--rate above 0");
+            }
+            Scenario s = Scenario.read(scenario, changes);
+            return new Study(s, threads, trace == null ? null : Trace.read(trace, s).atRate(rate));
         }
 
         PrintWriter out() {
@@ -192,4 +212,81 @@
             return rules(both);
         }
     }
+
+    @Command(name = "sweep", mixinStandardHelpOptions = true,
+            description = "A figure over values of one key, for one version or two, as a table and a plot.")
+    static final class Sweep extends Tries {
+        @Option(names = "--key", required = true, description = "such as counter.takes or plans.small.rate")
+        String key;
+
+        @Option(names = "--values", required = true, split = ",", description = "numbers, in the order of the plot")
+        List<String> values;
+
+        @Option(names = "--figure", defaultValue = "service", description = "what is plotted (${DEFAULT-VALUE})")
+        String figure;
+
+        @Option(names = "--jar", description = "a gateway's jar; once for each version (this one)")
+        List<Path> jars = new ArrayList<>();
+
+        @Option(names = "--plot", description = "a PNG file")
+        Path plot;
+
+        @Override
+        public Integer call() throws Exception {
+            Map<String, Gateway.Maker> makers = new LinkedHashMap<>();
+            for (Path p : jars) {
+                makers.put(p.getFileName().toString(), Versions.of(p));
+            }
+            if (makers.isEmpty()) {
+                makers.put("this", Versions.here());
+            }
+            Map<String, Study> studies = new LinkedHashMap<>(); // all are checked before the first runs
+            for (String v : values) {
+                Map<String, String> changes = new LinkedHashMap<>(set);
+                changes.put(key, v);
+                studies.put(v, study(changes));
+            }
+            Map<String, List<Plot.Point>> lines = new LinkedHashMap<>();
+            Map<String, List<Outcome>> all = new LinkedHashMap<>();
+            List<Outcome> every = new ArrayList<>();
+            for (Map.Entry<String, Gateway.Maker> m : makers.entrySet()) {
+                List<Plot.Point> line = new ArrayList<>();
+                for (Map.Entry<String, Study> s : studies.entrySet()) {
+                    List<Outcome> done = s.getValue().run(m.getValue(), seed, runs);
+                    Study.Mean mean = Study.means(done, level).get(figure);
+                    if (mean == null) {
+                        throw new CommandLine.ParameterException(spec.commandLine(),
+                                "--figure: expected one of " + done.get(0).figures().keySet());
+                    }
+                    out().printf(Locale.ROOT, "%-16s %s=%-10s %s %.4f  [%.4f, %.4f]%n", m.getKey(), key, s.getKey(), figure, mean.mean(),
+                            mean.least(), mean.most());
+                    line.add(new Plot.Point(Double.parseDouble(s.getKey()), mean));
+                    all.put(m.getKey() + " " + key + "=" + s.getKey(), done);
+                    every.addAll(done);
+                }
+                lines.put(m.getKey(), line);
+            }
+            files(all);
+            if (plot != null) {
+                Plot.write(plot, scenario.getFileName() + ", " + runs + " runs each", key, figure, lines);
+            }
+            return rules(every);
+        }
+    }
+
+    @Command(name = "record", mixinStandardHelpOptions = true, description = "Writes what one seed of a scenario asks for, as a trace.")
+    static final class Record extends Tries {
+        @Option(names = "--out", required = true, description = "the trace file")
+        Path to;
+
+        @Override
+        public Integer call() throws Exception {
+            study(); // says what is wrong
+            World w = new World(Scenario.read(scenario, set), seed, Versions.here());
+            w.run();
+            w.asked().write(to);
+            out().println(w.asked().asks().size() + " reqs");
+            return 0;
+        }
+    }
 }
--- a/lab/src/main/java/tinford/lab/model/World.java
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -23,6 +23,7 @@
 import tinford.api.Rules;
 import tinford.api.Srv;
 import tinford.lab.scenario.Scenario;
+import tinford.lab.scenario.Trace;
 
 /** One run: the parties of a scenario, put together, with what goes wrong, from start to end. */
 public final class World {
@@ -46,10 +47,19 @@
     private final Map<Customer, Bucket> offered = new HashMap<>();
     private final Map<Customer, Bucket> used = new HashMap<>();
     private final Outcome outcome;
+    private final Trace trace;
+    private final Map<Long, Customer> recorded = new HashMap<>();
+    private final List<Trace.Ask> asked = new ArrayList<>();
     private double rise = 1;
     private long ids;
 
     public World(Scenario s, long seed, Gateway.Maker maker) {
+        this(s, seed, maker, null);
+    }
+
+    /** @param trace the traffic, in place of drawn reqs; its customers' gateways and all work are drawn all the same */
+    public World(Scenario s, long seed, Gateway.Maker maker, Trace trace) {
+        this.trace = trace;
         this.s = s;
         this.streams = new Streams(seed);
         this.outcome = new Outcome(seed);
@@ -81,11 +91,7 @@
     private double[] customers() {
         UniformRandomProvider draw = streams.of("customers");
         double shares = s.plans().stream().mapToDouble(Scenario.Plan::share).sum();
-        List<Plan> plans = new ArrayList<>();
-        for (Scenario.Plan p : s.plans()) {
-            plans.add(new Plan(p.name(), p.rate() / 1000, p.burst(), p.max_out(), p.price(), p.beyond_value(), p.beyond_cost(),
-                    p.ceiling() / 1000, p.ceiling_burst(), p.slack()));
-        }
+        List<Plan> plans = plans();
         double[] sums = new double[s.clients().customers()];
         double sum = 0;
         for (int i = 0; i < sums.length; i++) {
@@ -103,6 +109,15 @@
         return sums;
     }
 
+    private List<Plan> plans() {
+        List<Plan> plans = new ArrayList<>();
+        for (Scenario.Plan p : s.plans()) {
+            plans.add(new Plan(p.name(), p.rate() / 1000, p.burst(), p.max_out(), p.price(), p.beyond_value(), p.beyond_cost(),
+                    p.ceiling() / 1000, p.ceiling_burst(), p.slack()));
+        }
+        return plans;
+    }
+
     public Outcome run() {
         for (Node n : nodes) {
             n.start(seeds.nextLong());
@@ -110,7 +125,11 @@
         double end = START + s.length_s() * 1000;
         double mean = (1 + s.clients().largest()) / 2;
         ContinuousSampler gap = ZigguratSampler.Exponential.of(streams.of("arrivals"), mean / asks[asks.length - 1]);
-        arrive(gap, streams.of("asked"), end);
+        if (trace == null) {
+            arrive(gap, streams.of("asked"), end);
+        } else {
+            replay(0, streams.of("asked"), end);
+        }
         UniformRandomProvider faults = streams.of("faults");
         for (Scenario.Fault f : s.faults()) {
             agenda.after(f.at_s() * 1000, () -> begin(f, faults));
@@ -135,18 +154,44 @@
             Customer c = customers.get(pick(draw.nextDouble() * asks[asks.length - 1]));
             Frontend f = frontend(draw.nextDouble());
             double units = 1 + draw.nextInt((int) s.clients().largest());
-            double works = work.get(f).sample();
-            boolean inside = offered.computeIfAbsent(c, k -> new Bucket(c.plan.rate, c.plan.burst, agenda.now()))
-                    .take(units, agenda.now());
-            Try.Asked asked = new Try.Asked(c, f, units, works, inside);
-            if (inside) {
-                outcome.offered += asked.value;
-            }
-            send(asked, draw.nextInt(c.width), draw.nextDouble() < s.clients().leave() ? draw.nextDouble() : 1);
+            ask(c, f, units, draw.nextInt(c.width), draw);
             arrive(gap, draw, end);
         });
     }
 
+    private void replay(int i, UniformRandomProvider draw, double end) {
+        if (i >= trace.asks().size() || START + trace.asks().get(i).at() > end) {
+            return;
+        }
+        Trace.Ask a = trace.asks().get(i);
+        agenda.after(START + a.at() - agenda.now(), () -> {
+            Customer c = recorded.computeIfAbsent(a.customer(), id -> {
+                Plan plan = customers.stream().map(k -> k.plan).filter(p -> p.name.equals(a.plan())).findFirst()
+                        .orElseGet(() -> plans().stream().filter(p -> p.name.equals(a.plan())).findFirst().orElseThrow());
+                return new Customer(id, plan, s.clients().spread(), (int) Math.floorMod(id * 0x9E3779B97F4A7C15L >>> 20, s.gateways()));
+            });
+            Frontend f = frontends.stream().filter(k -> k.name.equals(a.frontend())).findFirst().orElseThrow();
+            ask(c, f, a.units(), a.way(), draw);
+            replay(i + 1, draw, end);
+        });
+    }
+
+    private void ask(Customer c, Frontend f, double units, int way, UniformRandomProvider draw) {
+        asked.add(new Trace.Ask(agenda.now() - START, c.id, c.plan.name, f.name, units, way));
+        boolean inside = offered.computeIfAbsent(c, k -> new Bucket(c.plan.rate, c.plan.burst, agenda.now()))
+                .take(units, agenda.now());
+        Try.Asked first = new Try.Asked(c, f, units, work.get(f).sample(), inside);
+        if (inside) {
+            outcome.offered += first.value;
+        }
+        send(first, way, draw.nextDouble() < s.clients().leave() ? draw.nextDouble() : 1);
+    }
+
+    /** What was asked for first, after a run. */
+    public Trace asked() {
+        return new Trace(List.copyOf(asked));
+    }
+
     private int pick(double at) {
         int low = 0;
         int high = asks.length - 1;
--- a/lab/src/main/java/tinford/lab/scenario/Scenario.java
+++ b/lab/src/main/java/tinford/lab/scenario/Scenario.java
@@ -3,12 +3,16 @@
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import tinford.lab.model.Dist;
 
 /** A world to be tried: sizes, load, parties, and what goes wrong. Times are milliseconds unless the name ends in _s. */
@@ -71,20 +75,33 @@
     }
 
     public static Scenario read(Path file) throws Bad {
+        return read(file, Map.of());
+    }
+
+    public static Scenario read(Path file, Map<String, String> changes) throws Bad {
         try {
-            return of(file.toString(), Files.readString(file));
+            return of(file.toString(), Files.readString(file), changes);
         } catch (IOException e) {
             throw new Bad(file + ": expected a file that can be read");
         }
     }
 
     public static Scenario of(String name, String text) throws Bad {
+        return of(name, text, Map.of());
+    }
+
+    /** @param changes values in place of those in the file, by key: {@code servers.count}, {@code plans.small.rate}, {@code faults.0.size} */
+    public static Scenario of(String name, String text, Map<String, String> changes) throws Bad {
         TomlMapper toml = TomlMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES).build();
         Scenario s;
         try {
-            s = toml.readValue(text, Scenario.class);
+            JsonNode tree = toml.readTree(text);
+            for (Map.Entry<String, String> c : changes.entrySet()) {
+                change(name, tree, c.getKey(), c.getValue());
+            }
+            s = toml.treeToValue(tree, Scenario.class);
         } catch (UnrecognizedPropertyException e) {
             throw new Bad(name + ": " + place(e) + ": expected no such key; known are " + e.getKnownPropertyIds());
         } catch (JsonMappingException e) {
@@ -156,6 +173,40 @@
         return s;
     }
 
+    private static void change(String file, JsonNode tree, String key, String value) throws Bad {
+        String[] steps = key.split("\\.");
+        JsonNode at = tree;
+        for (int i = 0; i < steps.length - 1 && at != null; i++) {
+            at = step(at, steps[i]);
+        }
+        String last = steps[steps.length - 1];
+        if (!(at instanceof ObjectNode in) || !in.has(last) || in.get(last).isContainerNode()) {
+            throw new Bad(file + ": " + key + ": expected a key that the scenario has, with one value");
+        }
+        try {
+            if (in.get(last).isNumber()) {
+                in.put(last, new BigDecimal(value));
+            } else {
+                in.put(last, value);
+            }
+        } catch (NumberFormatException e) {
+            throw new Bad(file + ": " + key + ": expected a number, not " + value);
+        }
+    }
+
+    /** Into an object, an array by number, or an array of named things by name. */
+    private static JsonNode step(JsonNode at, String name) {
+        if (!at.isArray()) {
+            return at.get(name);
+        }
+        for (JsonNode n : at) {
+            if (n.path("name").asText("").equals(name)) {
+                return n;
+            }
+        }
+        return name.matches("\\d{1,6}") ? at.get(Integer.parseInt(name)) : null;
+    }
+
     private static String place(JsonMappingException e) {
         StringBuilder s = new StringBuilder();
         for (JsonMappingException.Reference r : e.getPath()) {
--- a/lab/src/main/java/tinford/lab/study/Study.java
+++ b/lab/src/main/java/tinford/lab/study/Study.java
@@ -13,15 +13,24 @@
 import tinford.lab.model.Outcome;
 import tinford.lab.model.World;
 import tinford.lab.scenario.Scenario;
+import tinford.lab.scenario.Trace;
 
 /** Runs over seeds, several at a time; what comes out does not hang on how many. */
 public final class Study {
     private final Scenario scenario;
     private final int threads;
 
+    private final Trace trace;
+
     public Study(Scenario scenario, int threads) {
+        this(scenario, threads, null);
+    }
+
+    /** @param trace recorded traffic in place of drawn reqs, or null */
+    public Study(Scenario scenario, int threads, Trace trace) {
         this.scenario = scenario;
         this.threads = threads;
+        this.trace = trace;
     }
 
     /** One outcome a seed, in the order of the seeds. */
@@ -31,7 +40,7 @@
             List<Future<Outcome>> all = new ArrayList<>();
             for (int i = 0; i < runs; i++) {
                 long seed = firstSeed + i;
-                all.add(pool.submit(() -> new World(scenario, seed, maker).run()));
+                all.add(pool.submit(() -> new World(scenario, seed, maker, trace).run()));
             }
             List<Outcome> done = new ArrayList<>();
             for (Future<Outcome> f : all) {
