--- a/lab/src/main/java/tinford/lab/model/Node.java
+++ b/lab/src/main/java/tinford/lab/model/Node.java
@@ -259,7 +259,13 @@
                 End how = End.values()[(int) found[0]];
                 input(in -> in.counted(name, how, took, found[1]));
             } else if (found[0] == End.GOOD.ordinal()) {
-                input(in -> in.countedLate(name, found[1]));
+                input(in -> {
+                    try {
+                        in.countedLate(name, found[1]);
+                    } catch (AbstractMethodError e) {
+                        // a version from before late totals were heard: it goes on without
+                    }
+                });
             }
         };
         long mine = life;
--- a/lab/src/main/java/tinford/lab/model/World.java
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -43,6 +43,7 @@
     private final List<Frontend> frontends = new ArrayList<>();
     private final Map<Frontend, ContinuousSampler> work = new HashMap<>();
     private final List<Customer> customers = new ArrayList<>();
+    private final double[] phases; // when a customer's spikes begin, or not a number where it has none
     private final double[] asks; // units a millisecond, summed up to each customer
     private final Map<Customer, Bucket> offered = new HashMap<>();
     private final Map<Customer, Bucket> used = new HashMap<>();
@@ -82,6 +83,7 @@
             frontends.add(made);
             work.put(made, f.dist().of(streams.of("work " + f.name()), f.work(), f.cv()));
         }
+        phases = new double[s.clients().customers()];
         asks = customers();
         for (int i = 0; i < s.gateways(); i++) {
             nodes.add(new Node(this, i, maker));
@@ -103,7 +105,10 @@
             customers.add(new Customer(i + 1, plans.get(k), s.clients().spread(), draw.nextInt(s.gateways())));
             boolean heavy = draw.nextDouble() < s.clients().heavy();
             double use = heavy ? s.clients().heavy_times() : s.clients().use() * 2 * draw.nextDouble();
-            sum += use * plans.get(k).rate;
+            boolean spikes = draw.nextDouble() < s.clients().spiky();
+            phases[i] = spikes ? draw.nextDouble() * s.clients().spike_every_s() * 1000 : Double.NaN;
+            // drawn at the rate of its spikes; between them most are not asked
+            sum += use * plans.get(k).rate * (spikes ? s.clients().spike_times() : 1);
             sums[i] = sum;
         }
         return sums;
@@ -151,10 +156,17 @@
             return;
         }
         agenda.after(next, () -> {
-            Customer c = customers.get(pick(draw.nextDouble() * asks[asks.length - 1]));
+            int who = pick(draw.nextDouble() * asks[asks.length - 1]);
+            Customer c = customers.get(who);
             Frontend f = frontend(draw.nextDouble());
             double units = 1 + draw.nextInt((int) s.clients().largest());
-            ask(c, f, units, draw.nextInt(c.width), draw);
+            int way = way(c, draw);
+            boolean asks = Double.isNaN(phases[who])
+                    || (agenda.now() + phases[who]) % (s.clients().spike_every_s() * 1000) < s.clients().spike_s() * 1000
+                    || draw.nextDouble() * s.clients().spike_times() < 1;
+            if (asks) {
+                ask(c, f, units, way, draw);
+            }
             arrive(gap, draw, end);
         });
     }
@@ -192,6 +204,21 @@
         return new Trace(List.copyOf(asked));
     }
 
+    /** The gateways of its set, in an order that changes now and then, each with less of its reqs than the one before. */
+    private int way(Customer c, UniformRandomProvider draw) {
+        double left = draw.nextDouble() * (1 - Math.exp(-s.clients().skew() * c.width)) / (1 - Math.exp(-s.clients().skew() - 1e-12));
+        int k = 0;
+        for (double w = 1; k < c.width - 1 && left >= w; k++) {
+            left -= w;
+            w *= Math.exp(-s.clients().skew());
+        }
+        if (s.clients().skew() == 0) {
+            k = draw.nextInt(c.width);
+        }
+        long turn = (long) (agenda.now() / (s.clients().shift_s() * 1000));
+        return (int) Math.floorMod(k + ((c.id * 31 + turn) * 0x9E3779B97F4A7C15L >>> 33), (long) c.width);
+    }
+
     private int pick(double at) {
         int low = 0;
         int high = asks.length - 1;
--- a/lab/src/main/java/tinford/lab/scenario/Scenario.java
+++ b/lab/src/main/java/tinford/lab/scenario/Scenario.java
@@ -34,9 +34,15 @@
     public record Plan(String name, double share, double rate, double burst, int max_out, double price, double beyond_value,
             double beyond_cost, double ceiling, double ceiling_burst, double slack) {}
 
-    /** @param use of their quotas that customers make, in the mean; {@code heavy} of them ask {@code heavy_times} theirs */
-    public record Clients(int customers, int spread, double use, double heavy, double heavy_times, int retries,
-            double honour, double backoff, double leave, double largest) {}
+    /**
+     * @param use of their quotas that customers make, in the mean; {@code heavy} of them ask {@code heavy_times} theirs;
+     *     {@code spiky} of them ask {@code spike_times} as much as else for {@code spike_s} out of every {@code spike_every_s}
+     * @param skew how unevenly a customer's reqs come through its gateways: each has e to the minus this of the one before;
+     *     which one is the first is drawn anew every {@code shift_s}
+     */
+    public record Clients(int customers, int spread, double skew, double shift_s, double use, double heavy, double heavy_times,
+            double spiky, double spike_times, double spike_s, double spike_every_s, int retries, double honour, double backoff,
+            double leave, double largest) {}
 
     public record Rules(double drain_grace, double fall_multiple, double fall_time, int max_dispatches, double max_retry_after) {}
 
@@ -150,6 +156,12 @@
         c.within("clients.spread", s.clients.spread, 1, s.gateways);
         c.positive("clients.use", s.clients.use);
         c.within("clients.heavy", s.clients.heavy, 0, 1);
+        c.within("clients.skew", s.clients.skew, 0, 10);
+        c.positive("clients.shift_s", s.clients.shift_s);
+        c.within("clients.spiky", s.clients.spiky, 0, 1);
+        c.within("clients.spike_times", s.clients.spike_times, 1, 1000);
+        c.positive("clients.spike_every_s", s.clients.spike_every_s);
+        c.within("clients.spike_s", s.clients.spike_s, 0, s.clients.spike_every_s);
         c.within("clients.retries", s.clients.retries, 0, 10);
         c.within("clients.leave", s.clients.leave, 0, 1);
         c.within("clients.largest", s.clients.largest, 1, 1000);
--- a/lab/src/test/java/tinford/lab/Scenarios.java
+++ b/lab/src/test/java/tinford/lab/Scenarios.java
@@ -68,9 +68,15 @@
                 [clients]
                 customers = 60
                 spread = 2
+                skew = 0.7
+                shift_s = 4
                 use = 0.6
                 heavy = 0.1
                 heavy_times = 3
+                spiky = 0.2
+                spike_times = 3
+                spike_s = 1
+                spike_every_s = 5
                 retries = 1
                 honour = 0.5
                 backoff = 100
