Lab: scenarios on loopback sockets against real gateways, an open load, beside the model

Need: one fault script drives model and sockets, and the difference between them is measured. Bench holds the model's own Machine and Store behind listening sockets, on an agenda that keeps to the wall clock (Live); Faults is taken out of World and works on both. The load is open; times count from when a req was to leave. Open: ceilings, cold servers and late answers are not yet looked at on sockets; work is drawn anew for each dispatch there.

--- a/lab/src/main/java/tinford/lab/Lab.java
+++ b/lab/src/main/java/tinford/lab/Lab.java
@@ -23,6 +23,7 @@
 import tinford.lab.model.World;
 import tinford.lab.scenario.Scenario;
 import tinford.lab.scenario.Trace;
+import tinford.lab.sockets.Bench;
 import tinford.lab.study.Plot;
 import tinford.lab.study.Study;
 import tinford.lab.study.Versions;
@@ -30,7 +31,7 @@
 /** The laboratory's command line. Exit codes: 0 done, 1 a rule was broken, 2 wrong words, 3 bad input. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "tinford lab 0.1",
         description = "Tries the decisions of tinford in a model of clients, servers and counter.",
-        subcommands = {Lab.Run.class, Lab.Compare.class, Lab.Sweep.class, Lab.Record.class})
+        subcommands = {Lab.Run.class, Lab.Compare.class, Lab.Sweep.class, Lab.Record.class, Lab.Sockets.class})
 public final class Lab {
     static final int RULE_BROKEN = 1;
     static final int BAD_INPUT = 3;
@@ -289,4 +290,44 @@
             return 0;
         }
     }
+
+    @Command(name = "sockets", mixinStandardHelpOptions = true,
+            description = "One seed on loopback sockets, against real gateways, beside the model on the same traffic.")
+    static final class Sockets extends Tries {
+        @Option(names = "--jar", required = true, description = "the gateway's jar")
+        Path jar;
+
+        @Option(names = "--logs", description = "a folder for the gateways' configurations and logs (a new one)")
+        Path logs;
+
+        @Override
+        public Integer call() throws Exception {
+            study(); // says what is wrong
+            Gateway.Maker maker = Versions.of(jar);
+            Scenario s = Scenario.read(scenario, set);
+            Trace played = trace == null ? null : Trace.read(trace, s).atRate(rate);
+            if (played == null) {
+                World drawn = new World(s, seed, maker);
+                drawn.run();
+                played = drawn.asked();
+            }
+            // as the stand-ins have it: a client asks once and stays
+            Map<String, String> once = new LinkedHashMap<>(set);
+            once.put("clients.retries", "0");
+            once.put("clients.leave", "0");
+            List<Outcome> model = new Study(Scenario.read(scenario, once), threads, played).run(maker, seed, runs);
+            Map<String, Double> real;
+            List<String> broken;
+            try (Bench bench = new Bench(s, seed, jar, logs == null ? Files.createTempDirectory("lab") : Files.createDirectories(logs))) {
+                real = bench.run(played);
+                broken = bench.broken();
+            }
+            Map<String, Study.Mean> means = Study.means(model, level);
+            out().printf("%-14s %12s  %s%n", "", "sockets", "model, " + runs + " runs");
+            real.forEach((f, v) -> out().printf(Locale.ROOT, "%-14s %12.4f  %.4f  [%.4f, %.4f]%n", f, v, means.get(f).mean(),
+                    means.get(f).least(), means.get(f).most()));
+            broken.stream().limit(5).forEach(b -> out().println("  " + b));
+            return broken.isEmpty() ? rules(model) : RULE_BROKEN;
+        }
+    }
 }
--- a/lab/src/main/java/tinford/lab/model/Agenda.java
+++ b/lab/src/main/java/tinford/lab/model/Agenda.java
@@ -33,6 +33,11 @@
         items.add(new Item(now + Math.max(0, ms), set++, what));
     }
 
+    /** When the next thing is due, or for ever. */
+    public double next() {
+        return items.isEmpty() ? Double.POSITIVE_INFINITY : items.peek().at;
+    }
+
     /** Lets all happen that is due by then. */
     public void run(double until) {
         while (!items.isEmpty() && items.peek().at <= until) {
--- a/lab/src/main/java/tinford/lab/model/Bucket.java
+++ b/lab/src/main/java/tinford/lab/model/Bucket.java
@@ -1,20 +1,20 @@
 package tinford.lab.model;
 
 /** The true quota of a customer, as one who saw all its reqs would keep it: it starts full. */
-final class Bucket {
+public final class Bucket {
     private final double rate;
     private final double burst;
     private double level;
     private double at;
 
-    Bucket(double rate, double burst, double now) {
+    public Bucket(double rate, double burst, double now) {
         this.rate = rate;
         this.burst = burst;
         this.level = burst;
         this.at = now;
     }
 
-    boolean take(double units, double now) {
+    public boolean take(double units, double now) {
         level = Math.min(burst, level + (now - at) * rate);
         at = now;
         boolean holds = level >= units;
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/model/Faults.java
@@ -0,0 +1,112 @@
+package tinford.lab.model;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+import tinford.api.Srv;
+import tinford.lab.scenario.Scenario;
+
+/** What goes wrong, done to a model or to stand-ins on sockets alike. */
+public final class Faults {
+    private static final double DRAINS = 2000; // from the word that it drains to its end
+
+    private Faults() {}
+
+    /** What faults are done to. */
+    public interface Ground {
+        Agenda agenda();
+
+        Collection<Machine> machines();
+
+        Store store();
+
+        double listLate();
+
+        /** Discovery tells the gateways. */
+        void list(Machine m, Srv.State state);
+
+        int gateways();
+
+        void kill(int gateway);
+
+        void start(int gateway);
+
+        /** From the counter. */
+        void cutOff(int gateway, boolean on);
+
+        void rise(double times);
+    }
+
+    public static void begin(Scenario.Fault f, Ground on, UniformRandomProvider draw) {
+        double ms = f.for_s() * 1000;
+        Agenda agenda = on.agenda();
+        switch (f.kind()) {
+            case SERVERS_DIE -> some(on.machines(), f.part(), draw).forEach(m -> {
+                m.die();
+                agenda.after(ms, () -> {
+                    m.start();
+                    on.list(m, Srv.State.UP);
+                });
+            });
+            case SERVERS_SLOW -> some(on.machines(), f.part(), draw).forEach(m -> {
+                m.slow(f.size());
+                agenda.after(ms, () -> m.slow(1));
+            });
+            case SERVERS_HANG -> some(on.machines(), f.part(), draw).forEach(m -> {
+                m.hang(true);
+                agenda.after(ms, () -> m.hang(false));
+            });
+            case FLEET_SHRINKS -> {
+                List<Machine> gone = some(on.machines(), f.part(), draw);
+                for (int i = 0; i < gone.size(); i++) {
+                    Machine m = gone.get(i);
+                    agenda.after(ms * i / gone.size(), () -> {
+                        on.list(m, Srv.State.DRAINING);
+                        agenda.after(DRAINS + on.listLate(), () -> {
+                            on.list(m, Srv.State.REMOVED);
+                            m.die();
+                        });
+                    });
+                }
+            }
+            case COUNTER_SILENT -> {
+                on.store().silence(true);
+                agenda.after(ms, () -> {
+                    on.store().silence(false);
+                    if (f.size() > 0) {
+                        on.store().empty();
+                    }
+                });
+            }
+            case COUNTER_SLOW -> {
+                on.store().slow(f.size());
+                agenda.after(ms, () -> on.store().slow(1));
+            }
+            case COUNTER_SPLIT -> some(numbers(on), f.part(), draw).forEach(n -> {
+                on.cutOff(n, true);
+                agenda.after(ms, () -> on.cutOff(n, false));
+            });
+            case GATEWAYS_DIE -> some(numbers(on), f.part(), draw).forEach(n -> {
+                on.kill(n);
+                agenda.after(ms, () -> on.start(n));
+            });
+            case LOAD_RISES -> {
+                on.rise(f.size());
+                agenda.after(ms, () -> on.rise(1));
+            }
+        }
+    }
+
+    private static List<Integer> numbers(Ground on) {
+        return IntStream.range(0, on.gateways()).boxed().toList();
+    }
+
+    private static <T> List<T> some(Collection<T> all, double part, UniformRandomProvider draw) {
+        List<T> mixed = new ArrayList<>(all);
+        ListSampler.shuffle(draw, mixed);
+        return mixed.subList(0, Math.max(1, (int) Math.round(part * mixed.size())));
+    }
+}
--- a/lab/src/main/java/tinford/lab/model/Machine.java
+++ b/lab/src/main/java/tinford/lab/model/Machine.java
@@ -13,8 +13,8 @@
  * just started is cold and grows to its full speed evenly.
  */
 public final class Machine {
-    final String id;
-    final String zone;
+    public final String id;
+    public final String zone;
     final int cell;
     final int cores;
     private final Agenda agenda;
@@ -28,23 +28,23 @@
     private boolean up = true;
     private boolean hangs;
     /** When it last started, or 0 for long ago. */
-    double born;
+    public double born;
     double busy; // core time spent, in milliseconds
 
     /** One piece of work and whoever waits for its end. */
-    static final class Visit {
+    public static final class Visit {
         final double work;
         final Consumer<End> then;
         double began;
         boolean over;
 
-        Visit(double work, Consumer<End> then) {
+        public Visit(double work, Consumer<End> then) {
             this.work = work;
             this.then = then;
         }
     }
 
-    Machine(Agenda agenda, String id, String zone, int cell, int cores, int room, double speed, double coldFrom,
+    public Machine(Agenda agenda, String id, String zone, int cell, int cores, int room, double speed, double coldFrom,
             double coldTime) {
         this.agenda = agenda;
         this.id = id;
@@ -57,7 +57,7 @@
         this.coldTime = coldTime;
     }
 
-    boolean up() {
+    public boolean up() {
         return up;
     }
 
@@ -75,7 +75,7 @@
         return cores * speed * (born > 0 ? coldFrom + (1 - coldFrom) * age : 1) / slower;
     }
 
-    void come(Visit v) {
+    public void come(Visit v) {
         if (!up) {
             v.then.accept(End.UNREACHABLE);
         } else if (working.size() < cores) {
@@ -110,13 +110,13 @@
     }
 
     /** Takes back what has not begun. */
-    void withdraw(Visit v) {
+    public void withdraw(Visit v) {
         if (waiting.remove(v)) {
             v.over = true;
         }
     }
 
-    void die() {
+    public void die() {
         up = false;
         List<Visit> all = new ArrayList<>(working);
         all.addAll(waiting);
@@ -128,19 +128,19 @@
         }
     }
 
-    void start() {
+    public void start() {
         up = true;
         hangs = false;
         born = agenda.now();
     }
 
     /** @param times slower than before all troubles, for what begins from now on */
-    void slow(double times) {
+    public void slow(double times) {
         slower = times;
     }
 
     /** Works and gives no answer. */
-    void hang(boolean on) {
+    public void hang(boolean on) {
         hangs = on;
     }
 }
--- a/lab/src/main/java/tinford/lab/model/Store.java
+++ b/lab/src/main/java/tinford/lab/model/Store.java
@@ -15,7 +15,7 @@
     private final int most;
     private double slower = 1;
     private boolean silent;
-    long calls;
+    public long calls;
 
     private final class Part {
         final Map<Long, double[]> held = new HashMap<>(); // total, until
@@ -35,7 +35,7 @@
     }
 
     /** @param most calls that wait at one part */
-    Store(Agenda agenda, int parts, ContinuousSampler takes, int most) {
+    public Store(Agenda agenda, int parts, ContinuousSampler takes, int most) {
         this.agenda = agenda;
         this.parts = new Part[parts];
         for (int i = 0; i < parts; i++) {
@@ -46,7 +46,7 @@
     }
 
     /** @param then hears of the end, and the total; never, while the counter is silent */
-    void add(long name, double amount, double keep, BiConsumer<End, Double> then) {
+    public void add(long name, double amount, double keep, BiConsumer<End, Double> then) {
         calls++;
         if (silent) {
             return;
@@ -73,17 +73,17 @@
         }
     }
 
-    void silence(boolean on) {
+    public void silence(boolean on) {
         silent = on;
     }
 
-    void empty() {
+    public void empty() {
         for (Part p : parts) {
             p.held.clear();
         }
     }
 
-    void slow(double times) {
+    public void slow(double times) {
         slower = times;
     }
 }
--- a/lab/src/main/java/tinford/lab/model/World.java
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.sampling.ListSampler;
 import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import tinford.api.CounterTerms;
@@ -26,7 +25,7 @@
 import tinford.lab.scenario.Trace;
 
 /** One run: the parties of a scenario, put together, with what goes wrong, from start to end. */
-public final class World {
+public final class World implements Faults.Ground {
     private static final double START = 1_000_000; // no party's clock begins at nought
     private static final double SETTLES = 2; // times the longest timeout that is waited for the last answers
     private static final double NOTICE = 2000; // reqs that would come to a dead gateway go on coming so long
@@ -137,7 +136,7 @@
         }
         UniformRandomProvider faults = streams.of("faults");
         for (Scenario.Fault f : s.faults()) {
-            agenda.after(f.at_s() * 1000, () -> begin(f, faults));
+            agenda.after(f.at_s() * 1000, () -> Faults.begin(f, this, faults));
         }
         double longest = frontends.stream().mapToDouble(f -> f.timeout).max().orElse(0);
         agenda.run(end);
@@ -180,7 +179,7 @@
             Customer c = recorded.computeIfAbsent(a.customer(), id -> {
                 Plan plan = customers.stream().map(k -> k.plan).filter(p -> p.name.equals(a.plan())).findFirst()
                         .orElseGet(() -> plans().stream().filter(p -> p.name.equals(a.plan())).findFirst().orElseThrow());
-                return new Customer(id, plan, s.clients().spread(), (int) Math.floorMod(id * 0x9E3779B97F4A7C15L >>> 20, s.gateways()));
+                return new Customer(id, plan, s.clients().spread(), first(id, s.gateways()));
             });
             Frontend f = frontends.stream().filter(k -> k.name.equals(a.frontend())).findFirst().orElseThrow();
             ask(c, f, a.units(), a.way(), draw);
@@ -188,6 +187,11 @@
         });
     }
 
+    /** The first gateway of a customer that a trace names. */
+    public static int first(long customer, int gateways) {
+        return (int) Math.floorMod(customer * 0x9E3779B97F4A7C15L >>> 20, gateways);
+    }
+
     private void ask(Customer c, Frontend f, double units, int way, UniformRandomProvider draw) {
         asked.add(new Trace.Ask(agenda.now() - START, c.id, c.plan.name, f.name, units, way));
         boolean inside = offered.computeIfAbsent(c, k -> new Bucket(c.plan.rate, c.plan.burst, agenda.now()))
@@ -336,79 +340,56 @@
         outcome.callsUnanswered++;
     }
 
-    private void begin(Scenario.Fault f, UniformRandomProvider draw) {
-        double ms = f.for_s() * 1000;
-        switch (f.kind()) {
-            case SERVERS_DIE -> some(machines.values(), f.part(), draw).forEach(m -> {
-                m.die();
-                agenda.after(ms, () -> {
-                    m.start();
-                    list(m, Srv.State.UP);
-                });
-            });
-            case SERVERS_SLOW -> some(machines.values(), f.part(), draw).forEach(m -> {
-                m.slow(f.size());
-                agenda.after(ms, () -> m.slow(1));
-            });
-            case SERVERS_HANG -> some(machines.values(), f.part(), draw).forEach(m -> {
-                m.hang(true);
-                agenda.after(ms, () -> m.hang(false));
-            });
-            case FLEET_SHRINKS -> {
-                List<Machine> gone = some(machines.values(), f.part(), draw);
-                for (int i = 0; i < gone.size(); i++) {
-                    Machine m = gone.get(i);
-                    agenda.after(ms * i / gone.size(), () -> {
-                        list(m, Srv.State.DRAINING);
-                        agenda.after(2000 + s.net().list_late(), () -> {
-                            list(m, Srv.State.REMOVED);
-                            m.die();
-                        });
-                    });
-                }
-            }
-            case COUNTER_SILENT -> {
-                store.silence(true);
-                agenda.after(ms, () -> {
-                    store.silence(false);
-                    if (f.size() > 0) {
-                        store.empty();
-                    }
-                });
-            }
-            case COUNTER_SLOW -> {
-                store.slow(f.size());
-                agenda.after(ms, () -> store.slow(1));
-            }
-            case COUNTER_SPLIT -> some(nodes, f.part(), draw).forEach(n -> {
-                n.cutOff = true;
-                agenda.after(ms, () -> n.cutOff = false);
-            });
-            case GATEWAYS_DIE -> some(nodes, f.part(), draw).forEach(n -> {
-                n.kill();
-                agenda.after(ms, () -> n.start(seeds.nextLong()));
-            });
-            case LOAD_RISES -> {
-                rise = f.size();
-                agenda.after(ms, () -> rise = 1);
-            }
+    /** Discovery tells each gateway in its own time. */
+    @Override
+    public void list(Machine m, Srv.State state) {
+        for (Node n : nodes) {
+            agenda.after(s.net().list_late() * (0.5 + wires.nextDouble() / 2), () -> n.listed(m, state));
         }
     }
 
-    private static <T> List<T> some(java.util.Collection<T> all, double part, UniformRandomProvider draw) {
-        List<T> mixed = new ArrayList<>(all);
-        ListSampler.shuffle(draw, mixed);
-        return mixed.subList(0, Math.max(1, (int) Math.round(part * mixed.size())));
+    @Override
+    public Agenda agenda() {
+        return agenda;
     }
 
-    /** Discovery tells each gateway in its own time. */
-    private void list(Machine m, Srv.State state) {
-        for (Node n : nodes) {
-            agenda.after(s.net().list_late() * (0.5 + wires.nextDouble() / 2), () -> n.listed(m, state));
-        }
+    @Override
+    public Store store() {
+        return store;
+    }
+
+    @Override
+    public double listLate() {
+        return s.net().list_late();
+    }
+
+    @Override
+    public int gateways() {
+        return nodes.size();
+    }
+
+    @Override
+    public void kill(int gateway) {
+        nodes.get(gateway).kill();
+    }
+
+    @Override
+    public void start(int gateway) {
+        nodes.get(gateway).start(seeds.nextLong());
+    }
+
+    @Override
+    public void cutOff(int gateway, boolean on) {
+        nodes.get(gateway).cutOff = on;
+    }
+
+    @Override
+    public void rise(double times) {
+        rise = times;
     }
 
-    java.util.Collection<Machine> machines() {
+    @Override
+    public java.util.Collection<Machine> machines() {
         return machines.values();
     }
 
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -0,0 +1,616 @@
+package tinford.lab.sockets;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import tinford.api.End;
+import tinford.api.Srv;
+import tinford.lab.model.Agenda;
+import tinford.lab.model.Bucket;
+import tinford.lab.model.Faults;
+import tinford.lab.model.Machine;
+import tinford.lab.model.Store;
+import tinford.lab.model.Streams;
+import tinford.lab.model.World;
+import tinford.lab.scenario.Scenario;
+import tinford.lab.scenario.Trace;
+
+/**
+ * A scenario on loopback sockets: real gateways, and stand-ins of servers, counter and discovery that hold the model's own machines
+ * and store, under an open load: each req leaves when the trace says, whatever became of those before, and its time counts from then.
+ */
+public final class Bench implements Faults.Ground, AutoCloseable {
+    private static final int READY = 20_000;
+    private static final double LOOK = 20; // whether a server has died or is back
+    private final Scenario s;
+    private final Path jar;
+    private final Path folder;
+    private final Live live = new Live();
+    private final UniformRandomProvider faults;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<String, ContinuousSampler> work = new HashMap<>();
+    private final Store store;
+    private final List<Gateway> gateways = new ArrayList<>();
+    private final ExecutorService pool = Executors.newCachedThreadPool(r -> {
+        Thread t = new Thread(r, "lab");
+        t.setDaemon(true);
+        return t;
+    });
+    private final Map<Long, Bucket> used = new HashMap<>();
+    private final Map<Long, Boolean> beyond = new ConcurrentHashMap<>(); // of reqs that reached a server
+    private final Map<Long, Integer> out = new HashMap<>(); // copies of a req that servers have now
+    private final List<String> broken = new ArrayList<>();
+    private final Discovery discovery;
+    private double unitsOn;
+    private double unitsBeyond;
+
+    /** A server: the model's machine behind a listening socket, which is shut while it is dead. */
+    private final class Host {
+        final Machine machine;
+        final int port;
+        final Map<Wire, Boolean> wires = new ConcurrentHashMap<>();
+        ServerSocket door;
+        Srv.State state = Srv.State.UP;
+        double drainToldAt = Double.POSITIVE_INFINITY;
+
+        Host(Machine machine) throws IOException {
+            this.machine = machine;
+            this.door = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+            this.port = door.getLocalPort();
+            accept(door);
+            live.post(this::look);
+        }
+
+        private void look() {
+            try {
+                if (!machine.up() && door != null) {
+                    door.close();
+                    door = null;
+                    wires.keySet().forEach(Wire::close);
+                } else if (machine.up() && door == null) {
+                    door = new ServerSocket();
+                    door.setReuseAddress(true);
+                    door.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
+                    accept(door);
+                }
+            } catch (IOException e) {
+                door = null; // tried again at the next look
+            }
+            live.agenda().after(LOOK, this::look);
+        }
+
+        private void accept(ServerSocket at) {
+            pool.execute(() -> {
+                try {
+                    while (true) {
+                        Wire w = new Wire(at.accept());
+                        wires.put(w, true);
+                        pool.execute(() -> talk(w));
+                    }
+                } catch (IOException e) {
+                    // the door is shut
+                }
+            });
+        }
+
+        private void talk(Wire w) {
+            Machine.Visit[] visit = new Machine.Visit[1];
+            try (w) {
+                for (String[] words = w.words(); words != null; words = w.words()) {
+                    String[] command = words;
+                    live.post(() -> visit[0] = begin(w, command));
+                }
+            } catch (IOException | RuntimeException e) {
+                // what can't be read ends its connection
+            } finally {
+                wires.remove(w);
+                live.post(() -> {
+                    if (visit[0] != null) {
+                        machine.withdraw(visit[0]);
+                    }
+                });
+            }
+        }
+
+        private Machine.Visit begin(Wire w, String[] words) {
+            long id = Long.parseUnsignedLong(words[2], 16);
+            String frontend = term(words[3], "c");
+            double now = live.agenda().now();
+            if (now > drainToldAt + s.rules().drain_grace() + 50) {
+                broken.add("drain: req " + words[2] + " came " + Math.round(now - drainToldAt) + " ms after the word that " + machine.id + " drains");
+            }
+            if (out.merge(id, 1, Integer::sum) > 1) {
+                broken.add("effect: req " + words[2] + " is at two servers at once");
+            }
+            if (beyond.get(id) == null) {
+                long customer = Long.parseUnsignedLong(words[1], 16);
+                double units = Double.parseDouble(term(words[3], "units"));
+                Scenario.Plan p = s.plans().stream().filter(k -> k.name().equals(term(words[3], "t"))).findFirst().orElseThrow();
+                boolean in = used.computeIfAbsent(customer, k -> new Bucket(p.rate() / 1000, p.burst(), now)).take(units, now);
+                beyond.put(id, !in);
+                unitsOn += units;
+                unitsBeyond += in ? 0 : units;
+            }
+            Machine.Visit v = new Machine.Visit(work.get(frontend).sample(), end -> {
+                out.merge(id, -1, Integer::sum);
+                try {
+                    switch (end) {
+                        case GOOD -> w.say("*3\r\n$16\r\n" + words[2] + "\r\n$-1\r\n$-1\r\n");
+                        case FULL -> w.say("-BUSY\r\n");
+                        default -> w.close();
+                    }
+                } catch (IOException e) {
+                    w.close();
+                }
+            });
+            machine.come(v);
+            return v;
+        }
+    }
+
+    private static String term(String terms, String name) {
+        for (String t : terms.split(",")) {
+            if (t.startsWith(name + "=")) {
+                return t.substring(name.length() + 1);
+            }
+        }
+        throw new IllegalArgumentException("expected " + name + " in " + terms);
+    }
+
+    /** Discovery for all gateways: one watch each, told of changes late. */
+    private final class Discovery {
+        final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final Map<Wire, Boolean> watches = new ConcurrentHashMap<>();
+        int seq = 1;
+
+        Discovery() throws IOException {
+            pool.execute(() -> {
+                try {
+                    while (true) {
+                        Wire w = new Wire(door.accept());
+                        pool.execute(() -> {
+                            try {
+                                for (String line = w.line(); line != null && !line.isEmpty(); line = w.line()) { }
+                                w.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                                live.post(() -> {
+                                    watches.put(w, true);
+                                    tell(w, list(hosts.values(), true));
+                                });
+                            } catch (IOException e) {
+                                w.close();
+                            }
+                        });
+                    }
+                } catch (IOException e) {
+                    // the run is over
+                }
+            });
+            live.post(this::pulse);
+        }
+
+        private void pulse() {
+            watches.keySet().forEach(w -> tell(w, ""));
+            live.agenda().after(2000, this::pulse);
+        }
+
+        void changed(Host h) {
+            seq++;
+            String list = list(List.of(h), false);
+            watches.keySet().forEach(w -> tell(w, list));
+        }
+
+        private void tell(Wire w, String text) {
+            try {
+                w.say(Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n");
+            } catch (IOException e) {
+                watches.remove(w);
+                w.close();
+            }
+        }
+
+        String list(Collection<Host> some, boolean whole) {
+            List<Object> all = new ArrayList<>();
+            for (Host h : some) {
+                all.add(Map.of("host", h.machine.id, "dial", at(h.port), "site", h.machine.zone, "class", "m", "block", 0, "share", 1.0,
+                        "health", h.state == Srv.State.UP ? "ready" : h.state == Srv.State.DRAINING ? "draining" : "gone",
+                        "born_ms", h.machine.born));
+            }
+            return json(Map.of("seq", seq, "whole", whole, "hosts", all));
+        }
+    }
+
+    /** A gateway: its process, its own way to the counter, and the clients' connections to it. */
+    private final class Gateway {
+        final int number;
+        final int port;
+        final ServerSocket counter = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final ConcurrentLinkedDeque<Wire> idle = new ConcurrentLinkedDeque<>();
+        volatile boolean cutOff;
+        volatile Process process;
+
+        Gateway(int number) throws IOException {
+            this.number = number;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = free.getLocalPort();
+            }
+            pool.execute(() -> {
+                try {
+                    while (true) {
+                        Wire w = new Wire(counter.accept());
+                        pool.execute(() -> count(w));
+                    }
+                } catch (IOException e) {
+                    // the run is over
+                }
+            });
+        }
+
+        private void count(Wire w) {
+            ArrayDeque<String[]> order = new ArrayDeque<>(); // of the agenda's thread: answers in the order of the calls
+            try (w) {
+                for (String[] words = w.words(); words != null; words = w.words()) {
+                    String[] call = words;
+                    live.post(() -> {
+                        String[] answer = new String[1];
+                        order.add(answer);
+                        if (cutOff) {
+                            return;
+                        }
+                        store.add(Long.parseLong(call[1]), Double.parseDouble(call[2]), Double.parseDouble(call[3]), (how, total) -> {
+                            String text = Double.toString(total);
+                            answer[0] = how == End.GOOD ? "$" + text.length() + "\r\n" + text + "\r\n" : "-BUSY\r\n";
+                            try {
+                                while (!order.isEmpty() && order.peek()[0] != null) {
+                                    w.say(order.poll()[0]);
+                                }
+                            } catch (IOException e) {
+                                w.close();
+                            }
+                        });
+                    });
+                }
+            } catch (IOException | RuntimeException e) {
+                // the gateway has another
+            }
+        }
+
+        void start() throws IOException {
+            Path config = folder.resolve("gateway" + number + ".json");
+            Files.writeString(config, config());
+            ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                    "-Xmx64m", "-XX:TieredStopAtLevel=1", "-cp", jar.toString(), "tinford.Main", "serve");
+            b.environment().put("ROUTER_CONFIG", config.toString());
+            process = b.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("gateway" + number + ".log").toFile()))
+                    .start();
+        }
+
+        void ready() throws IOException {
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY);
+            while (true) {
+                try (Wire w = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                    w.say(Wire.command("PING"));
+                    if ("+PONG".equals(w.answer())) {
+                        return;
+                    }
+                } catch (IOException e) {
+                    if (!process.isAlive() || System.nanoTime() > until) {
+                        throw new IOException("gateway " + number + " did not start: " + Files.readString(folder.resolve("gateway" + number + ".log")));
+                    }
+                    Thread.onSpinWait();
+                }
+            }
+        }
+
+        private String config() {
+            List<Object> classes = new ArrayList<>();
+            for (Scenario.Frontend f : s.frontends()) {
+                classes.add(Map.of("Name", f.name(), "Effect", switch (f.effect()) {
+                    case REPLAYABLE -> "read_like";
+                    case UNIQUED -> "idempotency_key";
+                    case NON_REPLAYABLE -> "non_idempotent";
+                }, "Group", "cell", "HardLimitUs", f.timeout() * 1000, "OnTimeUs", f.target() * 1000, "Value", f.value(), "LateWorth", 0,
+                        "Stream", false, "WindowUs", f.repeat_window() * 1000));
+            }
+            List<Object> plans = new ArrayList<>();
+            for (Scenario.Plan p : s.plans()) {
+                plans.add(Map.of("Name", p.name(), "QuotaRate", p.rate(), "MostAtOnce", p.burst(), "MaxOut", p.max_out(), "Price", p.price(),
+                        "ExtraWorth", p.beyond_value(), "OverrunCost", p.beyond_cost(), "CapRate", p.ceiling(), "CapDepth", p.ceiling_burst(),
+                        "HardSlack", p.slack()));
+            }
+            Map<String, Object> settings = new LinkedHashMap<>();
+            settings.put("Az", s.servers().zones().get(0));
+            settings.put("Azs", s.servers().zones());
+            settings.put("Classes", classes);
+            settings.put("Discovery", "automatic");
+            settings.put("Limits", Map.of("Cancel", true, "ConnectTimeoutUs", s.net().connect_timeout() * 1000, "KeepaliveUs", 15_000_000,
+                    "MaxAttempts", s.rules().max_dispatches(), "MaxRetryAfterUs", s.rules().max_retry_after() * 1000, "MayDuplicate", false,
+                    "OpenCap", 20_000, "Peers", false, "Probes", false, "RetryAfter", true));
+            settings.put("LoadInfo", Map.of("Fields", List.of(), "How", "silent"));
+            settings.put("MyNumber", number);
+            settings.put("NInstances", s.gateways());
+            settings.put("ResultMix", Map.of("Whole", 0.7, "WorstTenant", 0.3));
+            settings.put("Rules", Map.of("ColdFrom", s.servers().cold_from(), "ColdUs", s.servers().cold_time() * 1000, "FallMultiple",
+                    s.rules().fall_multiple(), "FallUs", s.rules().fall_time() * 1000));
+            settings.put("Specifics", Map.of("Counter", s.counter().present(), "CountLimitUs", s.counter().timeout() * 1000, "PostPaid", false,
+                    "UnitsTop", s.clients().largest()));
+            settings.put("Tariffs", plans);
+            settings.put("TickUs", s.tick() * 1000);
+            Map<String, Object> all = new LinkedHashMap<>();
+            all.put("name", "g" + number);
+            all.put("listen", at(port));
+            all.put("discovery", at(discovery.door.getLocalPort()));
+            all.put("seed", Integer.toHexString(number + 1));
+            all.put("limits", Map.of("cores", 1.0, "memory_mb", 192, "sockets", 1024));
+            all.put("counter", at(counter.getLocalPort()));
+            all.put("known", Map.of("seq", 0, "whole", true, "hosts", List.of()));
+            all.put("settings", settings);
+            return json(all);
+        }
+
+        /** One req on a connection of its own while it lasts: its answer, or null where none came. */
+        String ask(String command, double patience) {
+            Wire w = idle.poll();
+            for (int i = 0; i < 2; i++) {
+                boolean kept = w != null;
+                try {
+                    w = kept ? w : new Wire(new Socket(InetAddress.getLoopbackAddress(), port));
+                    w.socket.setSoTimeout((int) Math.max(1, patience));
+                    w.say(command);
+                    String said = w.answer();
+                    if (said != null) {
+                        idle.addFirst(w);
+                        return said;
+                    }
+                } catch (SocketTimeoutException e) {
+                    w.close();
+                    return null;
+                } catch (IOException e) {
+                    // closed between reqs, or the gateway is dead
+                }
+                if (w != null) {
+                    w.close();
+                }
+                w = null;
+                if (!kept) {
+                    return null;
+                }
+            }
+            return null;
+        }
+    }
+
+    /** @param jar of the gateway; {@code folder} for configurations and logs */
+    public Bench(Scenario s, long seed, Path jar, Path folder) throws IOException {
+        this.s = s;
+        this.jar = jar;
+        this.folder = folder;
+        Streams streams = new Streams(seed);
+        faults = streams.of("faults");
+        store = new Store(live.agenda(), s.counter().parts(), ZigguratSampler.Exponential.of(streams.of("counter"), s.counter().takes()),
+                s.counter().line());
+        for (Scenario.Frontend f : s.frontends()) {
+            work.put(f.name(), f.dist().of(streams.of("work " + f.name()), f.work(), f.cv()));
+        }
+        UniformRandomProvider speeds = streams.of("speeds");
+        for (int i = 0; i < s.servers().count(); i++) {
+            double speed = s.servers().speed() * (1 + s.servers().speed_spread() * (2 * speeds.nextDouble() - 1));
+            String id = String.format("s%04d", i);
+            hosts.put(id, new Host(new Machine(live.agenda(), id, s.servers().zones().get(i % s.servers().zones().size()), i % 8,
+                    s.servers().cores(), s.servers().room(), speed, s.servers().cold_from(), s.servers().cold_time())));
+        }
+        discovery = new Discovery();
+        for (int i = 0; i < s.gateways(); i++) {
+            gateways.add(new Gateway(i));
+        }
+    }
+
+    /** Plays the trace to its end; the figures have the model's names. */
+    public Map<String, Double> run(Trace trace) throws IOException, InterruptedException {
+        for (Gateway g : gateways) {
+            g.start();
+        }
+        for (Gateway g : gateways) {
+            g.ready();
+        }
+        double from = live.now() + 200;
+        for (Scenario.Fault f : s.faults()) {
+            live.post(() -> live.agenda().after(from - live.now() + f.at_s() * 1000, () -> Faults.begin(f, this, faults)));
+        }
+        ConcurrentHistogram took = new ConcurrentHistogram(3_600_000, 3);
+        double[] sums = new double[2]; // offered, passed
+        long[] counts = new long[4]; // denied, aborted, late, unanswered
+        Map<Long, Bucket> asked = new HashMap<>();
+        List<java.util.concurrent.Future<?>> waiting = new ArrayList<>();
+        long id = 1;
+        for (Trace.Ask a : trace.asks()) {
+            double due = from + a.at();
+            long ms = (long) (due - live.now());
+            if (ms > 0) {
+                Thread.sleep(ms);
+            }
+            long mine = id++;
+            Scenario.Plan p = s.plans().stream().filter(k -> k.name().equals(a.plan())).findFirst().orElseThrow();
+            Scenario.Frontend f = s.frontends().stream().filter(k -> k.name().equals(a.frontend())).findFirst().orElseThrow();
+            double value = f.value() * p.price() * a.units();
+            if (asked.computeIfAbsent(a.customer(), k -> new Bucket(p.rate() / 1000, p.burst(), due)).take(a.units(), due)) {
+                sums[0] += value;
+            }
+            int first = World.first(a.customer(), s.gateways());
+            String terms = "c=" + f.name() + ",t=" + p.name() + ",d=" + (long) f.timeout() + ",units=" + a.units() + ",spread="
+                    + s.clients().spread() + ",first=" + first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
+            String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(a.customer()), hex(mine), terms);
+            Gateway g = gateways.get((first + a.way()) % gateways.size());
+            waiting.add(pool.submit(() -> {
+                String said = g.ask(command, f.timeout() + 100);
+                double ended = live.now();
+                synchronized (sums) {
+                    if (said == null) {
+                        counts[3]++;
+                    } else if (said.equals("$" + hex(mine))) {
+                        took.recordValue(Math.max(0, Math.round(ended - due)));
+                        if (ended - due > f.target()) {
+                            counts[2]++;
+                        } else {
+                            boolean over = beyond.getOrDefault(mine, false);
+                            sums[1] += value * (over ? p.beyond_value() : 1);
+                        }
+                        sums[1] -= beyond.getOrDefault(mine, false) ? value * p.beyond_cost() : 0;
+                    } else if (said.startsWith("-BUSY")) {
+                        counts[0]++;
+                    } else if (said.startsWith("-ERR aborted")) {
+                        counts[1]++;
+                    } else {
+                        broken.add("lost: req " + hex(mine) + " was answered " + said);
+                    }
+                }
+            }));
+        }
+        for (java.util.concurrent.Future<?> w : waiting) {
+            try {
+                w.get();
+            } catch (java.util.concurrent.ExecutionException e) {
+                throw new IllegalStateException(e.getCause());
+            }
+        }
+        double n = trace.asks().size();
+        Map<String, Double> figures = new TreeMap<>();
+        figures.put("service", sums[1] / sums[0]);
+        figures.put("denied", counts[0] / n);
+        figures.put("aborted", counts[1] / n);
+        figures.put("late", counts[2] / n);
+        figures.put("unanswered", counts[3] / n);
+        figures.put("tries", n);
+        figures.put("p50_ms", (double) took.getValueAtPercentile(50));
+        figures.put("p99_ms", (double) took.getValueAtPercentile(99));
+        figures.put("p999_ms", (double) took.getValueAtPercentile(99.9));
+        java.util.concurrent.CountDownLatch read = new java.util.concurrent.CountDownLatch(1);
+        live.post(() -> {
+            figures.put("beyond_units", unitsOn == 0 ? 0 : unitsBeyond / unitsOn);
+            figures.put("calls_a_try", store.calls / n);
+            figures.put("rules_broken", (double) broken.size());
+            read.countDown();
+        });
+        read.await();
+        return figures;
+    }
+
+    public List<String> broken() {
+        return broken;
+    }
+
+    private static String hex(long v) {
+        return String.format("%016x", v);
+    }
+
+    private static String at(int port) {
+        return "127.0.0.1:" + port;
+    }
+
+    private static String json(Object o) {
+        try {
+            return new ObjectMapper().writeValueAsString(o);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public Agenda agenda() {
+        return live.agenda();
+    }
+
+    @Override
+    public Collection<Machine> machines() {
+        return hosts.values().stream().map(h -> h.machine).toList();
+    }
+
+    @Override
+    public Store store() {
+        return store;
+    }
+
+    @Override
+    public double listLate() {
+        return s.net().list_late();
+    }
+
+    @Override
+    public void list(Machine m, Srv.State state) {
+        live.agenda().after(s.net().list_late(), () -> {
+            Host h = hosts.get(m.id);
+            h.state = state;
+            h.drainToldAt = state == Srv.State.UP ? Double.POSITIVE_INFINITY : Math.min(h.drainToldAt, live.agenda().now());
+            discovery.changed(h);
+        });
+    }
+
+    @Override
+    public int gateways() {
+        return gateways.size();
+    }
+
+    @Override
+    public void kill(int gateway) {
+        gateways.get(gateway).process.destroyForcibly();
+    }
+
+    @Override
+    public void start(int gateway) {
+        try {
+            gateways.get(gateway).start();
+        } catch (IOException e) {
+            throw new IllegalStateException("gateway " + gateway + " does not start again", e);
+        }
+    }
+
+    @Override
+    public void cutOff(int gateway, boolean on) {
+        gateways.get(gateway).cutOff = on;
+    }
+
+    @Override
+    public void rise(double times) {
+        // the trace says when reqs come: what is risen there has risen here
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Gateway g : gateways) {
+            if (g.process != null) {
+                g.process.destroyForcibly();
+            }
+            g.counter.close();
+            g.idle.forEach(Wire::close);
+        }
+        discovery.door.close();
+        live.close();
+        pool.shutdownNow();
+        for (Host h : hosts.values()) {
+            if (h.door != null) {
+                h.door.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/sockets/Live.java
@@ -0,0 +1,65 @@
+package tinford.lab.sockets;
+
+import java.util.ArrayDeque;
+import tinford.lab.model.Agenda;
+
+/** An agenda that keeps to the wall clock, on a thread of its own; all that the stand-ins know belongs to that thread. */
+final class Live implements AutoCloseable {
+    private final Agenda agenda = new Agenda(System.currentTimeMillis());
+    private final long from = System.nanoTime();
+    private final double began = agenda.now();
+    private final ArrayDeque<Runnable> posted = new ArrayDeque<>();
+    private final Thread thread = new Thread(this::run, "stand-ins");
+    private boolean closed;
+
+    Live() {
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    Agenda agenda() {
+        return agenda;
+    }
+
+    double now() {
+        return began + (System.nanoTime() - from) / 1e6;
+    }
+
+    /** From any thread: done on the thread of the agenda, now. */
+    synchronized void post(Runnable what) {
+        posted.add(what);
+        notifyAll();
+    }
+
+    private void run() {
+        while (true) {
+            agenda.run(now());
+            Runnable next;
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                next = posted.poll();
+                double wait = agenda.next() - now();
+                if (next == null && wait > 0) {
+                    try {
+                        wait((long) Math.max(1, Math.min(1000, wait)));
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                    continue;
+                }
+            }
+            if (next != null) {
+                agenda.run(now()); // guards its times: they count from now, however long ago the agenda was looked at
+                next.run();
+            }
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        closed = true;
+        notifyAll();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/tinford/lab/sockets/SocketsTest.java
@@ -0,0 +1,137 @@
+package tinford.lab.sockets;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+import tinford.Decide;
+import tinford.api.Effect;
+import tinford.lab.Scenarios;
+import tinford.lab.model.Outcome;
+import tinford.lab.model.World;
+import tinford.lab.scenario.Scenario;
+import tinford.lab.scenario.Trace;
+
+/** The stand-ins with real gateways, on loopback, beside the model. */
+public class SocketsTest {
+    /** As the build of the gateway, which comes before this module's, leaves it. */
+    private static final Path JAR = Path.of("..", "gateway", "target", "tinford.jar");
+
+    private static Map<String, Double> play(Scenario s, Trace trace, int seed, List<String> broken) throws Exception {
+        Path folder = Files.createTempDirectory("lab");
+        try (Bench bench = new Bench(s, seed, JAR, folder)) {
+            Map<String, Double> found = bench.run(trace);
+            broken.addAll(bench.broken());
+            return found;
+        } finally {
+            try (var files = Files.list(folder)) {
+                for (Path p : files.toList()) {
+                    Files.delete(p);
+                }
+            }
+            Files.delete(folder);
+        }
+    }
+
+    /** Servers die, the counter falls silent: every req has its answer, no rule is broken, and the model says much the same. */
+    @Test
+    public void modelAndSocketsAgree() throws Exception {
+        Scenario s = Scenario.of("small", Scenarios.text(0, """
+                [[faults]]
+                kind = "SERVERS_DIE"
+                at_s = 2
+                for_s = 1
+                part = 0.3
+                size = 0
+                [[faults]]
+                kind = "COUNTER_SILENT"
+                at_s = 1
+                for_s = 2
+                part = 0
+                size = 1
+                """, Effect.REPLAYABLE), Map.of("length_s", "5", "clients.retries", "0", "clients.leave", "0"));
+        World drawn = new World(s, 5, Decide::new);
+        drawn.run();
+        Trace trace = drawn.asked();
+        List<String> broken = new java.util.ArrayList<>();
+        Map<String, Double> sockets = play(s, trace, 5, broken);
+        Outcome model = new World(s, 5, Decide::new, trace).run();
+        assertEquals(broken, List.of());
+        assertEquals(model.broken(), List.of());
+        assertEquals(sockets.get("tries"), (double) trace.asks().size());
+        assertEquals(sockets.get("unanswered"), 0.0);
+        assertEquals(sockets.get("service"), model.service(), 0.2, sockets + " against " + model.figures());
+        assertEquals(sockets.get("denied"), model.figures().get("denied"), 0.2);
+    }
+
+    /** A gateway that is killed answers nothing; its successor does, and the other never stops. */
+    @Test
+    public void aKilledGatewayIsMissedUntilItIsBack() throws Exception {
+        Scenario s = Scenario.of("small", Scenarios.text(0, """
+                [[faults]]
+                kind = "GATEWAYS_DIE"
+                at_s = 1
+                for_s = 0.2
+                part = 0.5
+                size = 0
+                """, Effect.REPLAYABLE), Map.of("length_s", "5", "clients.retries", "0", "clients.leave", "0"));
+        World drawn = new World(s, 6, Decide::new);
+        drawn.run();
+        List<String> broken = new java.util.ArrayList<>();
+        Map<String, Double> sockets = play(s, drawn.asked(), 6, broken);
+        assertEquals(broken, List.of());
+        assertTrue(sockets.get("unanswered") > 0 && sockets.get("unanswered") < 0.5, sockets.toString());
+        assertTrue(sockets.get("service") > 0.4, sockets.toString());
+    }
+
+    /** What belongs to the agenda happens on its thread, in time, however it is posted. */
+    @Test
+    public void theLiveAgendaKeepsTime() throws Exception {
+        try (Live live = new Live()) {
+            CountDownLatch done = new CountDownLatch(3);
+            double from = live.now();
+            double[] at = new double[2];
+            live.post(() -> live.agenda().after(30, () -> {
+                at[0] = live.now();
+                live.agenda().after(20, () -> {
+                    at[1] = live.now();
+                    done.countDown();
+                });
+                done.countDown();
+            }));
+            live.post(done::countDown);
+            assertTrue(done.await(10, TimeUnit.SECONDS));
+            assertTrue(at[0] >= from + 30 && at[1] >= from + 50, from + " " + at[0] + " " + at[1]);
+        }
+    }
+
+    /** A value cut off, or a length out of all bounds, is an error and no answer. */
+    @Test
+    public void halfAnswersAreNone() throws Exception {
+        for (String bytes : new String[] {"$5\r\nab", "$99999999\r\n", "+PO", "$x\r\n"}) {
+            try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                    Wire w = new Wire(new Socket(InetAddress.getLoopbackAddress(), door.getLocalPort()))) {
+                try (Wire other = new Wire(door.accept())) {
+                    other.say(bytes);
+                }
+                boolean failed = false;
+                try {
+                    w.answer();
+                } catch (IOException | NumberFormatException e) {
+                    failed = true;
+                }
+                assertTrue(failed, bytes);
+            }
+        }
+    }
+}
