--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -65,7 +65,8 @@
         out.alarm(TICK, TICK_MS);
     }
 
-    @Override public void takesOver() { startedAt = now; } // no ceiling has filled here while another process drew on it
+    /** No ceiling has filled here while another process drew on it. */
+    @Override public void takesOver() { startedAt = now; }
 
     @Override public void leaves() { leftAt = now; }
 
@@ -123,8 +124,9 @@
         hop.end = how;
         job.book.open--;
         if (!hop.begun) fleet.learn(hop, how, took);
-        if (!hop.begun && (how == End.GOOD || how == End.BROKEN)) (how == End.GOOD ? finished : broken).add(now, 1);
-        if (how == End.GOOD && settled > 0) quotas.settle(job, settled);
+        boolean good = how == End.GOOD;
+        if (!hop.begun && (good || how == End.BROKEN)) (good ? finished : broken).add(now, 1);
+        if (good && settled > 0) quotas.settle(job, settled);
         if (closed) over(job); else if (!job.over && !job.running()) again(job, how);
     }
 
@@ -549,7 +551,7 @@
             return takes;
         }
 
-        // guards a ceiling drawn on by two processes of this gateway: what one fills from empty the other lets go
+        // guards a ceiling drawn on by two processes of this gateway: what one fills the other lets go
         private void fill() {
             double full = plan.ceilingBurst * slice, rate = plan.ceilingRate * slice;
             ceiling = Math.min(full, ceiling + Math.max(0, Math.min(now, leftAt) - ceilingAt) * rate);
