Lab: the oracle of the five rules looks on at sockets too

Need: the oracle is to check every run, model and sockets. The stand-ins knew drains and copies of their own; copies were also counted wrong where a gateway had given up and the work went on. Now Try and Oracle are the model's; a connection whose end may lie unread is looked at 40 ms later before two dispatches count as out at once; a gateway owes nothing while it is dead or not up yet. Tests: seven programs that break a rule on purpose, each caught; Wire.line cut the last byte of a line that ends without a carriage return, found by the first of them.

--- a/lab/src/main/java/tinford/lab/model/Oracle.java
+++ b/lab/src/main/java/tinford/lab/model/Oracle.java
@@ -22,7 +22,7 @@
     private final Map<Machine, ArrayDeque<double[]>> coldWork = new HashMap<>(); // when, how much
     private long count;
 
-    Oracle(double grace, double fallMultiple, double fallTime) {
+    public Oracle(double grace, double fallMultiple, double fallTime) {
         this.grace = grace;
         this.fallMultiple = fallMultiple;
         this.fallTime = fallTime;
@@ -45,7 +45,7 @@
     }
 
     /** The final answer of a req, as it leaves its gateway. */
-    void answered(Try t, String answer, double now) {
+    public void answered(Try t, String answer, double now) {
         t.tell(now, answer);
         if (t.answers++ > 0) {
             breaks("lost", t, "a second final answer");
@@ -61,14 +61,14 @@
     }
 
     /** The client's time is over. */
-    void expired(Try t, double now) {
+    public void expired(Try t, double now) {
         if (t.answers == 0 && !t.left && !t.gatewayGone()) {
             breaks("lost", t, "no answer by the client timeout");
         }
     }
 
     /** A dispatch leaves its gateway. */
-    void dispatched(Try t, Machine m, double now, double toldAt, boolean first) {
+    public void dispatched(Try t, Machine m, double now, double toldAt, boolean first) {
         t.tell(now, "dispatch " + t.hops.size() + " to " + m.id);
         if (t.answers > 0) {
             breaks("lost", t, "a dispatch after the final answer");
@@ -110,7 +110,7 @@
     }
 
     /** Work comes to a server; true when it was cold and is pushed over by it. */
-    boolean arrives(Machine m, double work, double now) {
+    public boolean arrives(Machine m, double work, double now) {
         if (!m.cold()) {
             coldWork.remove(m);
             return false;
--- a/lab/src/main/java/tinford/lab/model/Try.java
+++ b/lab/src/main/java/tinford/lab/model/Try.java
@@ -2,19 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 import tinford.api.Customer;
 import tinford.api.End;
 import tinford.api.Frontend;
 import tinford.api.Req;
 
 /** One try of a client, with its history. */
-final class Try extends Req {
+public final class Try extends Req {
     final Asked asked;
     final double work;
     final double arrived;
-    final Node at;
-    final long life; // of the gateway that took it
-    final List<Hop> hops = new ArrayList<>(1);
+    private final LongSupplier gateway; // which life the gateway that took it is in
+    final long life;
+    public final List<Hop> hops = new ArrayList<>(1);
     private final List<String> told = new ArrayList<>(4);
     int answers;
     boolean left;
@@ -22,7 +23,7 @@
     boolean beyond;
 
     /** What a client asked for first; its tries belong to it. */
-    static final class Asked {
+    public static final class Asked {
         final Customer customer;
         final Frontend frontend;
         final double units;
@@ -32,7 +33,7 @@
         int tries;
         boolean passed;
 
-        Asked(Customer customer, Frontend frontend, double units, double work, boolean inside) {
+        public Asked(Customer customer, Frontend frontend, double units, double work, boolean inside) {
             this.customer = customer;
             this.frontend = frontend;
             this.units = units;
@@ -43,24 +44,25 @@
     }
 
     /** A dispatch, as the wires show it. */
-    static final class Hop {
+    public static final class Hop {
         final Machine to;
         final double at;
         Machine.Visit visit;
-        End end;
+        public End end;
 
-        Hop(Machine to, double at) {
+        public Hop(Machine to, double at) {
             this.to = to;
             this.at = at;
         }
     }
 
-    Try(long id, Asked asked, Node at, double now, boolean resent) {
+    /** @param gateway tells which life the gateway that takes it is in: one that has died owes nothing */
+    public Try(long id, Asked asked, LongSupplier gateway, double now, boolean resent) {
         super(id, asked.frontend, asked.customer, now + asked.frontend.timeout, asked.units, resent);
         this.asked = asked;
         this.work = asked.work;
-        this.at = at;
-        this.life = at.life();
+        this.gateway = gateway;
+        this.life = gateway.getAsLong();
         this.arrived = now;
     }
 
@@ -69,7 +71,7 @@
     }
 
     boolean gatewayGone() {
-        return at.life() != life;
+        return gateway.getAsLong() != life;
     }
 
     void tell(double now, String what) {
--- a/lab/src/main/java/tinford/lab/model/World.java
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -260,7 +260,7 @@
             again(asked, NOTICE);
             return;
         }
-        Try t = new Try(++ids, asked, n, agenda.now(), asked.tries > 1);
+        Try t = new Try(++ids, asked, n::life, agenda.now(), asked.tries > 1);
         n.arrive(t);
         if (stays < 1) {
             agenda.after(stays * t.frontend.timeout, () -> {
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -25,14 +25,21 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import tinford.api.Customer;
+import tinford.api.Effect;
 import tinford.api.End;
+import tinford.api.Frontend;
+import tinford.api.Group;
+import tinford.api.Plan;
 import tinford.api.Srv;
 import tinford.lab.model.Agenda;
 import tinford.lab.model.Bucket;
 import tinford.lab.model.Faults;
 import tinford.lab.model.Machine;
+import tinford.lab.model.Oracle;
 import tinford.lab.model.Store;
 import tinford.lab.model.Streams;
+import tinford.lab.model.Try;
 import tinford.lab.model.World;
 import tinford.lab.scenario.Scenario;
 import tinford.lab.scenario.Trace;
@@ -43,9 +50,10 @@
  */
 public final class Bench implements Faults.Ground, AutoCloseable {
     private static final int READY = 20_000;
+    private static final double UNREAD = 40;
     private static final double LOOK = 20; // whether a server has died or is back
     private final Scenario s;
-    private final Path jar;
+    private final List<String> program;
     private final Path folder;
     private final Live live = new Live();
     private final UniformRandomProvider faults;
@@ -60,8 +68,11 @@
     });
     private final Map<Long, Bucket> used = new HashMap<>();
     private final Map<Long, Boolean> beyond = new ConcurrentHashMap<>(); // of reqs that reached a server
-    private final Map<Long, Integer> out = new HashMap<>(); // copies of a req that servers have now
-    private final List<String> broken = new ArrayList<>();
+    private final Map<Long, Try> tries = new ConcurrentHashMap<>();
+    private final Map<String, Frontend> frontends = new HashMap<>();
+    private final Map<String, Plan> plans = new HashMap<>();
+    private final Oracle oracle;
+    private final List<String> strange = new java.util.concurrent.CopyOnWriteArrayList<>(); // answers that are none
     private final Discovery discovery;
     private double unitsOn;
     private double unitsBeyond;
@@ -72,6 +83,7 @@
         final int port;
         final Map<Wire, Boolean> wires = new ConcurrentHashMap<>();
         ServerSocket door;
+        final Map<Wire, Try.Hop> hops = new HashMap<>(); // the last on each connection
         Srv.State state = Srv.State.UP;
         double drainToldAt = Double.POSITIVE_INFINITY;
 
@@ -130,31 +142,40 @@
                     if (visit[0] != null) {
                         machine.withdraw(visit[0]);
                     }
+                    Try.Hop hop = hops.remove(w);
+                    if (hop != null && hop.end == null) {
+                        hop.end = End.TIMED_OUT; // given up by its gateway; it may have run
+                    }
                 });
             }
         }
 
         private Machine.Visit begin(Wire w, String[] words) {
-            long id = Long.parseUnsignedLong(words[2], 16);
-            String frontend = term(words[3], "c");
             double now = live.agenda().now();
-            if (now > drainToldAt + s.rules().drain_grace() + 50) {
-                broken.add("drain: req " + words[2] + " came " + Math.round(now - drainToldAt) + " ms after the word that " + machine.id + " drains");
-            }
-            if (out.merge(id, 1, Integer::sum) > 1) {
-                broken.add("effect: req " + words[2] + " is at two servers at once");
+            Try t = tries.get(Long.parseUnsignedLong(words[2], 16));
+            double works = work.get(t.frontend.name).sample();
+            if (beyond.get(t.id) == null) {
+                Plan p = t.customer.plan;
+                boolean in = used.computeIfAbsent(t.customer.id, k -> new Bucket(p.rate, p.burst, now)).take(t.units, now);
+                beyond.put(t.id, !in);
+                unitsOn += t.units;
+                unitsBeyond += in ? 0 : t.units;
             }
-            if (beyond.get(id) == null) {
-                long customer = Long.parseUnsignedLong(words[1], 16);
-                double units = Double.parseDouble(term(words[3], "units"));
-                Scenario.Plan p = s.plans().stream().filter(k -> k.name().equals(term(words[3], "t"))).findFirst().orElseThrow();
-                boolean in = used.computeIfAbsent(customer, k -> new Bucket(p.rate() / 1000, p.burst(), now)).take(units, now);
-                beyond.put(id, !in);
-                unitsOn += units;
-                unitsBeyond += in ? 0 : units;
+            Try.Hop hop = new Try.Hop(machine, now);
+            double told = drainToldAt;
+            Runnable seen = () -> {
+                oracle.dispatched(t, machine, now, told, t.hops.isEmpty());
+                t.hops.add(hop);
+            };
+            // the end of the connection before may lie unread: then it is looked at a moment later
+            if (t.hops.stream().anyMatch(h -> h.end == null)) {
+                live.agenda().after(UNREAD, seen);
+            } else {
+                seen.run();
             }
-            Machine.Visit v = new Machine.Visit(work.get(frontend).sample(), end -> {
-                out.merge(id, -1, Integer::sum);
+            hops.put(w, hop);
+            Machine.Visit v = new Machine.Visit(works, end -> {
+                hop.end = hop.end == null ? end : hop.end;
                 try {
                     switch (end) {
                         case GOOD -> w.say("*3\r\n$16\r\n" + words[2] + "\r\n$-1\r\n$-1\r\n");
@@ -165,20 +186,14 @@
                     w.close();
                 }
             });
+            if (oracle.arrives(machine, works, now)) {
+                machine.die();
+            }
             machine.come(v);
             return v;
         }
     }
 
-    private static String term(String terms, String name) {
-        for (String t : terms.split(",")) {
-            if (t.startsWith(name + "=")) {
-                return t.substring(name.length() + 1);
-            }
-        }
-        throw new IllegalArgumentException("expected " + name + " in " + terms);
-    }
-
     /** Discovery for all gateways: one watch each, told of changes late. */
     private final class Discovery {
         final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -248,6 +263,8 @@
         final ServerSocket counter = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         final ConcurrentLinkedDeque<Wire> idle = new ConcurrentLinkedDeque<>();
         volatile boolean cutOff;
+        volatile long life;
+        volatile boolean up; // it has answered since its start: before that, and dead, it owes nothing
         volatile Process process;
 
         Gateway(int number) throws IOException {
@@ -297,10 +314,13 @@
         }
 
         void start() throws IOException {
+            life++;
             Path config = folder.resolve("gateway" + number + ".json");
             Files.writeString(config, config());
-            ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                    "-Xmx64m", "-XX:TieredStopAtLevel=1", "-cp", jar.toString(), "tinford.Main", "serve");
+            List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                    "-Xmx64m", "-XX:TieredStopAtLevel=1"));
+            words.addAll(program);
+            ProcessBuilder b = new ProcessBuilder(words);
             b.environment().put("ROUTER_CONFIG", config.toString());
             process = b.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("gateway" + number + ".log").toFile()))
                     .start();
@@ -312,6 +332,7 @@
                 try (Wire w = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
                     w.say(Wire.command("PING"));
                     if ("+PONG".equals(w.answer())) {
+                        up = true;
                         return;
                     }
                 } catch (IOException e) {
@@ -403,14 +424,26 @@
 
     /** @param jar of the gateway; {@code folder} for configurations and logs */
     public Bench(Scenario s, long seed, Path jar, Path folder) throws IOException {
+        this(s, seed, List.of("-cp", jar.toString(), "tinford.Main", "serve"), folder);
+    }
+
+    /** @param program what java is to run as a gateway */
+    Bench(Scenario s, long seed, List<String> program, Path folder) throws IOException {
         this.s = s;
-        this.jar = jar;
+        this.program = program;
         this.folder = folder;
         Streams streams = new Streams(seed);
         faults = streams.of("faults");
         store = new Store(live.agenda(), s.counter().parts(), ZigguratSampler.Exponential.of(streams.of("counter"), s.counter().takes()),
                 s.counter().line());
+        oracle = new Oracle(s.rules().drain_grace(), s.rules().fall_multiple(), s.rules().fall_time());
+        for (Scenario.Plan p : s.plans()) {
+            plans.put(p.name(), new Plan(p.name(), p.rate() / 1000, p.burst(), p.max_out(), p.price(), p.beyond_value(), p.beyond_cost(),
+                    p.ceiling() / 1000, p.ceiling_burst(), p.slack()));
+        }
         for (Scenario.Frontend f : s.frontends()) {
+            frontends.put(f.name(), new Frontend(f.name(), f.target(), f.timeout(), f.value(), 0, Effect.valueOf(f.effect().name()),
+                    Group.CELL, f.repeat_window(), false));
             work.put(f.name(), f.dist().of(streams.of("work " + f.name()), f.work(), f.cv()));
         }
         UniformRandomProvider speeds = streams.of("speeds");
@@ -462,9 +495,20 @@
                     + s.clients().spread() + ",first=" + first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
             String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(a.customer()), hex(mine), terms);
             Gateway g = gateways.get((first + a.way()) % gateways.size());
+            Customer customer = new Customer(a.customer(), plans.get(p.name()), s.clients().spread(), first);
+            Try t = new Try(mine, new Try.Asked(customer, frontends.get(f.name()), a.units(), 0, true), () -> g.life, due, false);
+            tries.put(mine, t);
+            boolean owes = g.up;
             waiting.add(pool.submit(() -> {
                 String said = g.ask(command, f.timeout() + 100);
                 double ended = live.now();
+                live.post(() -> {
+                    if (said == null && owes) {
+                        oracle.expired(t, ended);
+                    } else if (said != null) {
+                        oracle.answered(t, said.startsWith("$") ? "passed" : said.startsWith("-BUSY") ? "denied" : "aborted", ended);
+                    }
+                });
                 synchronized (sums) {
                     if (said == null) {
                         counts[3]++;
@@ -482,7 +526,7 @@
                     } else if (said.startsWith("-ERR aborted")) {
                         counts[1]++;
                     } else {
-                        broken.add("lost: req " + hex(mine) + " was answered " + said);
+                        strange.add("lost: req " + hex(mine) + " was answered " + said);
                     }
                 }
             }));
@@ -509,15 +553,18 @@
         live.post(() -> {
             figures.put("beyond_units", unitsOn == 0 ? 0 : unitsBeyond / unitsOn);
             figures.put("calls_a_try", store.calls / n);
-            figures.put("rules_broken", (double) broken.size());
+            figures.put("rules_broken", (double) oracle.count() + strange.size());
             read.countDown();
         });
         read.await();
         return figures;
     }
 
+    /** The rules that were broken, each with the story of a req. */
     public List<String> broken() {
-        return broken;
+        List<String> all = new ArrayList<>(strange);
+        all.addAll(oracle.broken());
+        return all;
     }
 
     private static String hex(long v) {
@@ -573,16 +620,21 @@
 
     @Override
     public void kill(int gateway) {
+        gateways.get(gateway).up = false;
+        gateways.get(gateway).life++;
         gateways.get(gateway).process.destroyForcibly();
     }
 
     @Override
     public void start(int gateway) {
-        try {
-            gateways.get(gateway).start();
-        } catch (IOException e) {
-            throw new IllegalStateException("gateway " + gateway + " does not start again", e);
-        }
+        pool.execute(() -> {
+            try {
+                gateways.get(gateway).start();
+                gateways.get(gateway).ready();
+            } catch (IOException e) {
+                strange.add("gateway " + gateway + " does not start again: " + e.getMessage());
+            }
+        });
     }
 
     @Override
--- a/lab/src/main/java/tinford/lab/sockets/Wire.java
+++ b/lab/src/main/java/tinford/lab/sockets/Wire.java
@@ -43,7 +43,8 @@
             }
             s.append((char) c);
         }
-        return s.substring(0, Math.max(0, s.length() - 1));
+        int n = s.length();
+        return s.substring(0, n > 0 && s.charAt(n - 1) == '\r' ? n - 1 : n);
     }
 
     /** The words of a command, or null at the end. */
--- a/lab/src/test/java/tinford/lab/sockets/SocketsTest.java
+++ b/lab/src/test/java/tinford/lab/sockets/SocketsTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import tinford.Decide;
 import tinford.api.Effect;
@@ -94,6 +95,50 @@
         assertTrue(sockets.get("service") > 0.4, sockets.toString());
     }
 
+    @DataProvider
+    public Object[][] rogues() {
+        return new Object[][] {
+            {"silent", "lost: no answer by the client timeout"}, {"invents", "lost: req "},
+            {"copies", "effect: two dispatches out at once"}, {"again", "effect: dispatched again though it may have run"},
+            {"denies", "effect: denied though it may have run"}, {"drains", "drain: sent "}, {"ceilings", "ceiling: customer "},
+        };
+    }
+
+    /** Programs that break a rule on purpose are caught on sockets as in the model. */
+    @Test(dataProvider = "rogues")
+    public void aBrokenRuleIsCaught(String fault, String told) throws Exception {
+        Scenario s = Scenario.of("small", Scenarios.text(fault.equals("ceilings") ? 0.1 : 0, """
+                [[faults]]
+                kind = "SERVERS_DIE"
+                at_s = 1.5
+                for_s = 0.2
+                part = 0.6
+                size = 0
+                [[faults]]
+                kind = "FLEET_SHRINKS"
+                at_s = 1.8
+                for_s = 0.1
+                part = 0.3
+                size = 0
+                """, Effect.NON_REPLAYABLE), Map.of("length_s", "4", "clients.retries", "0", "clients.leave", "0", "servers.cold_time", "1"));
+        World drawn = new World(s, 7, Decide::new);
+        drawn.run();
+        Path folder = Files.createTempDirectory("lab");
+        String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        try (Bench bench = new Bench(s, 7, List.of("-cp", classes, "tinford.lab.sockets.Rogue", fault), folder)) {
+            bench.run(drawn.asked());
+            List<String> broken = bench.broken();
+            assertTrue(broken.stream().anyMatch(b -> b.startsWith(told)), fault + ": " + broken);
+        } finally {
+            try (var files = Files.list(folder)) {
+                for (Path p : files.toList()) {
+                    Files.delete(p);
+                }
+            }
+            Files.delete(folder);
+        }
+    }
+
     /** What belongs to the agenda happens on its thread, in time, however it is posted. */
     @Test
     public void theLiveAgendaKeepsTime() throws Exception {
