--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -323,6 +323,8 @@
         /** From the top of the order, in three passes that each open a further third of the limits. */
         Node pick(Job job) {
             if (out >= slots) return null;
+            // what holds a req back on every server alike is asked once, not of each: a line may wait for it
+            if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return null;
             for (Node n : cold) { if (now >= n.barredUntil && allowed(job, n)) return n; }
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
