--- a/gateway/src/test/java/tinford/program/SocketTest.java
+++ b/gateway/src/test/java/tinford/program/SocketTest.java
@@ -1082,6 +1082,9 @@
             {"GET /v1/readyz", "200"}, {"POST /v1/readyz", "405"}, {"GET /", "404"}, {"GET /v1/servers/s0/suspend", "405"},
             {"POST /v1/servers/s0/suspend", "200"}, {"POST /v1/servers/s0/resume", "200"}, {"POST /v1/servers/s9/suspend", "404"},
             {"POST /v1/servers/s9/resume", "404"}, {"POST /v1/servers/s0/stop", "404"}, {"POST /v1/servers/s0", "404"},
+            {"POST /v1/servers/%73%30/suspend", "404"}, {"POST /v1/servers//suspend", "404"}, {"POST /v1/servers/s0/suspend/x", "404"},
+            {"POST /v1/servers/../s0/suspend", "404"}, {"DELETE /v1/servers/s0/suspend", "405"}, {"POST /v1/servers/s0 /suspend", "400"},
+            {"POST /v1/servers/" + "s".repeat(3000) + "/suspend", "404"}, {"POST v1/servers/s0/suspend", "400"},
         };
     }
 
@@ -1099,6 +1102,23 @@
             String[] row = operatorsCalls()[i % operatorsCalls().length];
             assertEquals(call(management, row[0]), row[1], row[0]);
         }
+        Talk twice = new Talk(new Socket(InetAddress.getLoopbackAddress(), management));
+        twice.say("GET /v1/readyz HTTP/1.1\r\n\r\nPOST /v1/servers/s0/suspend HTTP/1.1\r\n\r\n");
+        assertEquals(twice.line(), "HTTP/1.1 200 OK");
+        String rest = "";
+        for (String line = twice.line(); line != null; line = twice.line()) {
+            rest += line + "\n";
+        }
+        assertFalse(rest.contains("HTTP/1.1"), rest); // one call to a connection
+        Talk half = new Talk(new Socket(InetAddress.getLoopbackAddress(), management));
+        half.say("POST /v1/servers/s0/suspend HTTP/1.1\r\n");
+        half.socket.close();
+        serveAll(servers[0]);
+        String heard = "";
+        for (int i = 1; i < 40 && !heard.startsWith("for"); i++) { // it was put back above, and earns its reqs
+            heard = client().say(ask(i)).hear();
+        }
+        assertTrue(heard.startsWith("for"), "neither took the server out: " + heard);
         Talk wrong = new Talk(new Socket(InetAddress.getLoopbackAddress(), management));
         assertEquals(wrong.say("what\r\n\r\n").line(), "HTTP/1.1 400 Bad Request");
     }
