Four connections to the counter side by side; one that hangs while others answer is passed by

Ruled out: a counter that answers late (late totals would come), the gateway's own processor time (0.2 s a second), calls turned away. Way not taken: a second connection only once the first is silent: all calls of a call's time would still be lost each time; an end after the call's time alone: a counter that is late would lose its late totals.

--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -17,10 +17,12 @@
 if [ -n "$managed" ] && [ "$heap" -gt $((${mb:-192} / 2 - 30)) ]; then heap=$((${mb:-192} / 2 - 30)); fi
 if [ "$heap" -lt 10 ]; then heap=10; fi
 # heap, direct buffers, stacks, code and classes in what is given; the whole heap is touched at the start, so that memory
-# is level from then on; collector and compiler for part of a core, no management beans (a fifth of a second at start),
+# is level from then on; collector and compiler for part of a core, code compiled only
+# after four times as many calls (a start is short of processor time), no management beans (a fifth of a second at start),
 # classes from the archive that the build leaves
 exec java -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=8m -Xss256k \
-    -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=24m -XX:-UsePerfData \
+    -XX:TieredStopAtLevel=1 -XX:CompileThresholdScaling=4 -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=24m \
+    -XX:-UsePerfData \
     -Djavax.management.builder.initial=tinford.transport.NoBeans -Duser.language=en -Duser.country=US \
     "${TINFORD_CLASSES:--XX:SharedArchiveFile=gateway/target/tinford.jsa}" \
     -jar gateway/target/tinford.jar serve
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -45,6 +45,9 @@
     /** Clients hold a third of the descriptors for reqs, as they count them; idle ones go before they get there. */
     private static final int IDLE_PART = 4;
 
+    /** Of the connections to the counter one that hangs holds up a part of the calls; counters take many more from an address. */
+    private static final int TO_COUNTER = 4;
+
     private Serve() {}
 
     /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
@@ -80,7 +83,8 @@
                 Handed.counter(set).largest, bounds.millis("KeepaliveUs"), (int) bounds.whole("OpenCap", 20_000), bytes,
                 most / 2, sockets / IDLE_PART);
         Counter counter = Handed.counter(set).present
-                ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout) : null;
+                ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout,
+                TO_COUNTER) : null;
         Fields known = given.part("known");
         Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers, Handed.mustAsk(set),
                 json, known.whole("seq", 0));
--- a/gateway/src/main/java/tinford/routing/Counter.java
+++ b/gateway/src/main/java/tinford/routing/Counter.java
@@ -14,8 +14,9 @@
 import tinford.transport.Loop;
 
 /**
- * The calls on the counter, one behind another on one connection, so that their answers keep the order of the calls. A
- * call that was given up stays in its place until its answer has come or the connection has ended.
+ * The calls on the counter, on a few connections side by side. Calls on one name go one behind another on the same one, so
+ * that their answers keep the order of the calls; of a connection that hangs, the others' calls know nothing. A call that was
+ * given up stays in its place until its answer has come or the connection has ended.
  */
 public final class Counter {
     private static final double MOST_KEPT = 60_000;
@@ -26,20 +27,21 @@
     private final double connectWithin;
     private final double timeout;
     private final Resp resp = new Resp();
-    private final ArrayDeque<Call> unsent = new ArrayDeque<>();
     private final ArrayDeque<Call> waiting = new ArrayDeque<>(); // not told of, oldest first
-    private Wire wire;
-    private Wire leaving; // to where the counter was before
+    private final Lane[] lanes;
+    private double answeredFrom = Double.NEGATIVE_INFINITY; // the latest call answered in its time was made then
     private Loop.Timer watch;
 
     private static final class Call {
+        final Lane lane;
         final long name;
         final double amount;
         final double keep;
         final double at;
         boolean told;
 
-        Call(long name, double amount, double keep, double at) {
+        Call(Lane lane, long name, double amount, double keep, double at) {
+            this.lane = lane;
             this.name = name;
             this.amount = amount;
             this.keep = keep;
@@ -47,16 +49,21 @@
         }
     }
 
-    public Counter(Desk desk, InetSocketAddress at, double connectWithin, double timeout) {
+    /** @param abreast how many connections stand side by side */
+    public Counter(Desk desk, InetSocketAddress at, double connectWithin, double timeout, int abreast) {
         this.desk = desk;
         this.at = at;
         this.connectWithin = connectWithin;
         this.timeout = timeout;
+        this.lanes = new Lane[abreast];
+        for (int i = 0; i < abreast; i++) {
+            lanes[i] = new Lane();
+        }
     }
 
     public void connect() {
-        if (wire == null) {
-            wire = new Wire();
+        for (Lane l : lanes) {
+            l.connect();
         }
     }
 
@@ -66,30 +73,16 @@
             return;
         }
         at = to;
-        if (leaving != null) {
-            leaving.end(Ending.DROPPED); // two moves within the time of a call
-        }
-        leaving = wire;
-        wire = null;
-        connect();
-        left();
-    }
-
-    /** Once nothing is owed by the wire that leaves, its successor sends: answers for a name keep the order of its calls. */
-    private void left() {
-        if (leaving != null && !leaving.owes()) {
-            leaving.end(Ending.RETIRED);
+        for (Lane l : lanes) {
+            l.move();
         }
     }
 
     void add(long name, double amount, double keep) {
-        Call c = new Call(name, amount, keep, desk.now);
-        unsent.add(c);
+        Lane lane = lanes[Math.floorMod(Long.hashCode(name * 0x9E3779B97F4A7C15L), lanes.length)]; // spreads neighbours
+        Call c = new Call(lane, name, amount, keep, desk.now);
         waiting.add(c);
-        connect();
-        if (wire.up()) {
-            wire.pass();
-        }
+        lane.add(c);
         if (watch == null) {
             watch();
         }
@@ -99,19 +92,23 @@
         if (watch != null) {
             watch.cancel();
         }
-        double next = !waiting.isEmpty() ? waiting.peek().at + timeout : wire != null ? wire.deadAt() : Double.NaN;
-        watch = Double.isNaN(next) ? null : desk.loop.after(next - desk.now, this::giveUp);
+        double next = waiting.isEmpty() ? Double.POSITIVE_INFINITY : waiting.peek().at + timeout;
+        for (Lane l : lanes) {
+            next = l.wire == null ? next : Math.min(next, l.wire.deadAt());
+        }
+        watch = next == Double.POSITIVE_INFINITY ? null : desk.loop.after(next - desk.now, this::giveUp);
     }
 
     /** The oldest call has waited long enough. */
     private void giveUp() {
+        for (Lane l : lanes) {
+            if (l.wire != null) {
+                l.wire.look();
+            }
+        }
         while (!waiting.isEmpty() && desk.now - waiting.peek().at >= timeout - 0.5) {
             Call c = waiting.peek();
-            tell(c, Ends.ofCall(Ending.SILENT, !unsent.remove(c)), 0); // it leaves no more
-        }
-        // guards against a connection whose other machine is gone without a word: a new one finds out
-        if (wire != null && desk.now >= wire.deadAt() - 0.5) {
-            wire.end(Ending.SILENT);
+            tell(c, Ends.ofCall(Ending.SILENT, !c.lane.unsent.remove(c)), 0); // it leaves no more
         }
         watch();
     }
@@ -128,24 +125,105 @@
         if (waiting.isEmpty()) {
             watch();
         }
-        left();
+        c.lane.left();
         desk.in.counted(c.name, how, desk.now - c.at, total);
     }
 
+    /** A part of the names, and their connection. */
+    private final class Lane {
+        private final ArrayDeque<Call> unsent = new ArrayDeque<>();
+        private Wire wire;
+        private Wire leaving; // to where the counter was before
+
+        void connect() {
+            if (wire == null) {
+                wire = new Wire(this);
+            }
+        }
+
+        void add(Call c) {
+            unsent.add(c);
+            connect();
+            if (wire.up()) {
+                wire.pass();
+            }
+        }
+
+        void move() {
+            if (leaving != null) {
+                leaving.end(Ending.DROPPED); // two moves within the time of a call
+            }
+            leaving = wire;
+            wire = null;
+            connect();
+            left();
+        }
+
+        /** Once nothing is owed by the wire that leaves, its successor sends: answers for a name keep the order of its calls. */
+        void left() {
+            if (leaving != null && !leaving.owes()) {
+                leaving.end(Ending.RETIRED);
+            }
+        }
+
+        void ended(Wire ended, Ending how) {
+            boolean replaced = ended == leaving;
+            if (replaced) {
+                leaving = null;
+            } else {
+                wire = null;
+            }
+            boolean refused = how == Ending.REFUSED || how == Ending.NO_ROOM; // else each has its time still
+            for (Call c : ended.sent) {
+                tell(c, Ends.ofCall(how, true), 0);
+            }
+            if (replaced) {
+                if (wire != null && wire.up()) {
+                    wire.pass();
+                }
+                return;
+            }
+            for (Call c = refused ? unsent.poll() : null; c != null; c = unsent.poll()) {
+                tell(c, Ends.ofCall(how, false), 0);
+            }
+            // another is ready before the next call needs it; what ends at once is not tried faster than what is silent
+            if (how == Ending.NEVER_UP || how == Ending.SILENT || how == Ending.PASSED_BY || how == Ending.MALFORMED
+                    || !unsent.isEmpty()) {
+                connect();
+            } else {
+                desk.loop.after(connectWithin, this::connect);
+            }
+        }
+    }
+
     private final class Wire extends Link {
+        private final Lane lane;
         private final ArrayDeque<Call> sent = new ArrayDeque<>();
+        private double heardAt = Double.NEGATIVE_INFINITY;
         private Loop.Timer whole; // runs while an answer has come in part
 
-        Wire() {
-            super(desk.loop, 1 << 16, 1 << 20);
+        Wire(Lane lane) {
+            super(desk.loop, 1 << 14, 1 << 18);
+            this.lane = lane;
             open(at, connectWithin);
         }
 
+        void look() {
+            double since = sent.isEmpty() ? desk.now : Math.max(sent.peek().at, heardAt);
+            // guards the calls behind one whose answer never comes: the counter answers what was asked later elsewhere
+            if (desk.now - since >= timeout - 0.5 && answeredFrom > since) {
+                end(Ending.PASSED_BY);
+            } else if (desk.now >= deadAt() - 0.5) {
+                // guards against a connection whose other machine is gone without a word: a new one finds out
+                end(Ending.SILENT);
+            }
+        }
+
         void pass() {
-            if (leaving != null) {
+            if (lane.leaving != null) {
                 return;
             }
-            for (Call c = unsent.poll(); c != null; c = unsent.poll()) {
+            for (Call c = lane.unsent.poll(); c != null; c = lane.unsent.poll()) {
                 String name = Long.toString(c.name);
                 String amount = number(c.amount);
                 String keep = Long.toString((long) Math.min(MOST_KEPT, Math.max(1, Math.ceil(c.keep))));
@@ -161,9 +239,9 @@
             return sent.stream().anyMatch(c -> !c.told);
         }
 
-        /** Nothing came for a call by then: not a number when none is out. */
+        /** Nothing came for a call by then; never when none is out. */
         double deadAt() {
-            return sent.isEmpty() ? Double.NaN : sent.peek().at + timeout + connectWithin;
+            return sent.isEmpty() ? Double.POSITIVE_INFINITY : sent.peek().at + timeout + connectWithin;
         }
 
         @Override
@@ -173,6 +251,7 @@
 
         @Override
         protected void received() {
+            heardAt = desk.now;
             try {
                 while (!over()) {
                     int n = resp.parse(buf.bytes(), buf.from(), buf.to());
@@ -190,7 +269,9 @@
                         whole.cancel();
                         whole = null;
                     }
-                    tell(sent.poll(), how, total);
+                    Call c = sent.poll();
+                    answeredFrom = c.told ? answeredFrom : Math.max(answeredFrom, c.at);
+                    tell(c, how, total);
                 }
             } catch (Malformed e) {
                 desk.complain(Level.WARNING, "counter", "", e);
@@ -226,34 +307,10 @@
 
         @Override
         protected void ended(Ending how) {
-            boolean replaced = this == leaving;
-            if (replaced) {
-                leaving = null;
-            } else {
-                wire = null;
-            }
-            boolean refused = how == Ending.REFUSED || how == Ending.NO_ROOM; // else each has its time still
             if (whole != null) {
                 whole.cancel();
             }
-            for (Call c : sent) {
-                tell(c, Ends.ofCall(how, true), 0);
-            }
-            if (replaced) {
-                if (wire != null && wire.up()) {
-                    wire.pass();
-                }
-                return;
-            }
-            for (Call c = refused ? unsent.poll() : null; c != null; c = unsent.poll()) {
-                tell(c, Ends.ofCall(how, false), 0);
-            }
-            // another is ready before the next call needs it; what ends at once is not tried faster than what is silent
-            if (how == Ending.NEVER_UP || how == Ending.SILENT || how == Ending.MALFORMED || !unsent.isEmpty()) {
-                connect();
-            } else {
-                desk.loop.after(connectWithin, Counter.this::connect);
-            }
+            lane.ended(this, how);
         }
     }
 
--- a/gateway/src/main/java/tinford/transport/Ending.java
+++ b/gateway/src/main/java/tinford/transport/Ending.java
@@ -18,6 +18,8 @@
     OVERFULL,
     /** Open, but nothing came for as long as was waited. */
     SILENT,
+    /** Open and silent, while others to the same party brought answers to what was sent later. */
+    PASSED_BY,
     /** Given up from here while it was in use. */
     DROPPED,
     /** Closed from here while nothing was in it. */
--- a/gateway/src/test/java/tinford/program/SocketTest.java
+++ b/gateway/src/test/java/tinford/program/SocketTest.java
@@ -18,6 +18,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -224,6 +227,63 @@
         return new Talk(at.accept());
     }
 
+    /** The counter as it is called, on whichever of the gateway's connections a call comes. */
+    private final class Count {
+        private final BlockingQueue<Map.Entry<Talk, String>> heard =
+                new LinkedBlockingQueue<>();
+        final List<Talk> wires = new ArrayList<>();
+        Talk last; // where the last call that was heard came from
+
+        /** Takes the connections that the gateway opens at its start, and any that it opens later. */
+        Count(ServerSocket at) throws IOException {
+            for (int i = 0; i < 4; i++) {
+                take(accept(at));
+            }
+            follow(() -> {
+                while (true) {
+                    take(accept(at));
+                }
+            });
+        }
+
+        private void take(Talk t) {
+            synchronized (wires) {
+                wires.add(t);
+            }
+            follow(() -> {
+                for (String s = t.hear(); s != null; s = t.hear()) {
+                    heard.add(Map.entry(t, s));
+                }
+                heard.add(Map.entry(t, "end"));
+                return null;
+            });
+        }
+
+        String hear() throws InterruptedException {
+            Map.Entry<Talk, String> next = heard.poll(PATIENCE, TimeUnit.MILLISECONDS);
+            assertTrue(next != null, "nothing heard");
+            last = next.getKey();
+            return next.getValue();
+        }
+
+        Count say(String text) throws IOException {
+            last.say(text);
+            return this;
+        }
+
+        private void follow(Callable<Void> what) {
+            Thread thread = new Thread(() -> {
+                try {
+                    what.call();
+                } catch (Exception e) {
+                    return; // the test is over, or the gateway is
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
     @Test
     public void reqGoesThroughUnchangedButForItsTime() throws Exception {
         Talk client = up();
@@ -771,7 +831,7 @@
     @Test
     public void counterIsReadAndItsTotalDecides() throws Exception {
         Talk client = up();
-        Talk count = accept(counter);
+        Count count = new Count(counter);
         client.say(paid(1));
         assertTrue(count.hear().matches("CNT.ADD \\d+ 1 \\d+"));
         count.say("$1\r\n1\r\n");
@@ -797,10 +857,12 @@
     @Test(dataProvider = "counterTroubles")
     public void counterInTroubleStopsNobody(String trouble) throws Exception {
         Talk client = up();
-        Talk count = accept(counter);
+        Count count = new Count(counter);
         if (trouble.equals("gone")) {
             counter.close();
-            count.socket.close();
+            for (Talk t : count.wires) {
+                t.socket.close();
+            }
         }
         client.say(paid(1) + ask(2));
         if (!trouble.equals("gone")) {
@@ -822,19 +884,55 @@
     @Test
     public void deadCounterConnectionIsReplaced() throws Exception {
         Talk client = up();
-        Talk dead = accept(counter);
+        Count count = new Count(counter);
         client.say(paid(1));
-        dead.hear();
+        count.hear();
         Talk server = accept(servers[0]);
         server.hear();
         server.say(value("by the slice"));
         assertEquals(client.hear(), "by the slice");
+        Talk dead = count.last;
         client.say(paid(2));
-        dead.hear();
-        assertEquals(dead.hear(), null); // given up
+        String next = count.hear();
+        while (!next.equals("end")) { // the second call, of the same name or of the next window's
+            next = count.hear();
+        }
+        assertTrue(count.last == dead); // given up
         client.say(paid(3));
-        Talk fresh = accept(counter);
-        assertTrue(fresh.hear().startsWith("CNT.ADD "));
+        assertTrue(count.hear().startsWith("CNT.ADD "));
+        assertTrue(count.last != dead);
+    }
+
+    /** Guards the counter's other calls against an answer that never comes: whoever is asked for elsewhere is answered. */
+    @Test
+    public void aCounterConnectionThatHangsIsPassedBy() throws Exception {
+        Talk client = up();
+        Count count = new Count(counter);
+        client.say(paid(1));
+        assertTrue(count.hear().startsWith("CNT.ADD "));
+        Talk hangs = count.last; // and never answers
+        serveAll(servers[0]);
+        StringBuilder others = new StringBuilder();
+        for (int i = 2; i < 42; i++) {
+            others.append(command("Q.ASK", id(100 + i), id(i), "c=read,t=paid,d=4000,units=1,spread=1,first=0"));
+        }
+        client.say(others.toString());
+        int elsewhere = 0;
+        for (String heard = count.hear(); !heard.equals("end"); heard = count.hear()) {
+            if (count.last != hangs) {
+                elsewhere++;
+                count.say("$1\r\n1\r\n");
+            }
+        }
+        assertTrue(count.last == hangs);
+        assertTrue(elsewhere >= 20, elsewhere + " calls"); // a fourth of forty would have to wait, not all behind the first
+        int passed = 0;
+        for (int i = 1; i < 42; i++) {
+            String answer = client.hear();
+            assertTrue(answer.equals("for " + id(i)) || answer.startsWith("-BUSY "), answer);
+            passed += answer.startsWith("for ") ? 1 : 0;
+        }
+        assertTrue(passed >= 20, passed + " passed");
     }
 
     /** From now on every command is passed, whichever connection it comes on. */
@@ -930,7 +1028,7 @@
     public void newConfigurationMovesCounterAndDiscovery() throws Exception {
         Talk client = up();
         for (int i = 1; i < 4; i++) {
-            Talk count = accept(counter);
+            Count count = new Count(counter);
             assertEquals(accept(discovery).line(), "GET /registry/instances?watch=1&after=41 HTTP/1.1");
             client.say(ask(i));
             Talk server = accept(servers[0]);
@@ -938,7 +1036,7 @@
             discovery = door();
             counter = door();
             hangUp(configuration());
-            assertEquals(count.hear(), null);
+            assertEquals(count.hear(), "end");
             server.say(value("over the change"));
             assertEquals(client.hear(), "over the change");
             server.socket.close();
@@ -979,7 +1077,7 @@
     @Test(dataProvider = "badConfigurations")
     public void badNewConfigurationChangesNothing(String part, String instead, String line) throws Exception {
         Talk client = up();
-        Talk count = accept(counter);
+        Talk[] wires = {accept(counter), accept(counter), accept(counter), accept(counter)};
         ServerSocket[] before = {discovery, counter};
         discovery = door();
         counter = door();
@@ -990,7 +1088,13 @@
             assertTrue(gateway.isAlive());
         }
         client.say(paid(1));
-        assertTrue(count.hear().startsWith("CNT.ADD "));
+        serveAll(servers[0]);
+        assertTrue(client.hear().startsWith("for ")); // with or without the counter
+        int calls = 0;
+        for (Talk t : wires) {
+            calls += t.in.available();
+        }
+        assertTrue(calls > 0);
         before[1].setSoTimeout(1);
         assertThrows(java.net.SocketTimeoutException.class, before[1]::accept);
         hangUp(good);
--- a/gateway/src/test/java/tinford/routing/RoutingTest.java
+++ b/gateway/src/test/java/tinford/routing/RoutingTest.java
@@ -42,6 +42,7 @@
             {Ending.OVERFULL, End.UNREACHABLE, End.BROKEN},
             {Ending.RETIRED, End.UNREACHABLE, End.BROKEN},
             {Ending.SILENT, End.UNREACHABLE, End.TIMED_OUT},
+            {Ending.PASSED_BY, End.UNREACHABLE, End.BROKEN},
             {Ending.DROPPED, End.VOID, End.CANCELLED},
         };
     }
@@ -197,7 +198,7 @@
         });
         try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Desk desk = new Desk(gateway, 3, 10, 1 << 20);
-            Counter counter = new Counter(desk, new InetSocketAddress(door.getInetAddress(), door.getLocalPort()), 60_000, 50);
+            Counter counter = new Counter(desk, new InetSocketAddress(door.getInetAddress(), door.getLocalPort()), 60_000, 50, 1);
             desk.loop.enter(() -> counter.add(1, 2.5, 1000));
             try (Socket s = door.accept()) {
                 assertEquals(new String(s.getInputStream().readNBytes(48), StandardCharsets.US_ASCII),
@@ -227,7 +228,7 @@
         InetAddress here = InetAddress.getLoopbackAddress();
         try (ServerSocket old = new ServerSocket(0, 1, here); ServerSocket next = new ServerSocket(0, 1, here)) {
             Desk desk = new Desk(gateway, 3, 10, 1 << 20);
-            Counter counter = new Counter(desk, new InetSocketAddress(here, old.getLocalPort()), 60_000, 60_000);
+            Counter counter = new Counter(desk, new InetSocketAddress(here, old.getLocalPort()), 60_000, 60_000, 1);
             desk.loop.enter(() -> counter.add(1, 1, 1000));
             try (Socket before = old.accept()) {
                 before.getInputStream().readNBytes(41);
@@ -266,7 +267,7 @@
         });
         try (ServerSocket door = new ServerSocket(0, 2, InetAddress.getLoopbackAddress())) {
             Desk desk = new Desk(gateway, 3, 10, 1 << 20);
-            Counter counter = new Counter(desk, new InetSocketAddress(door.getInetAddress(), door.getLocalPort()), 60_000, 60_000);
+            Counter counter = new Counter(desk, new InetSocketAddress(door.getInetAddress(), door.getLocalPort()), 60_000, 60_000, 1);
             desk.loop.enter(() -> counter.add(1, 1, 1000));
             desk.loop.enter(() -> counter.add(2, 1, 1000));
             try (Socket s = door.accept()) {
@@ -293,7 +294,7 @@
             port = free.getLocalPort();
         }
         Desk desk = new Desk((now, feed, out) -> feed.replay(new Bed.Deaf()), 3, 10, 1 << 20);
-        Counter counter = new Counter(desk, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 20, 50);
+        Counter counter = new Counter(desk, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 20, 50, 1);
         desk.loop.enter(counter::connect);
         try (ServerSocket door = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
             door.setSoTimeout(10_000);
