The log is written by a thread of its own; discovery is asked again by chance and ever more rarely

Change: Lines takes 256 lines at most, drops and counts beyond, tells how many found no place; written out before the end. routing.Again: waits of 100 to 300 ms at first, up to 250 to 750 ms, back to the first once a line comes. Way not taken: non-blocking writes on standard error itself, which would change it for whoever shares the pipe.

--- a/gateway/src/main/java/tinford/Main.java
+++ b/gateway/src/main/java/tinford/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import tinford.benchlink.Bench;
+import tinford.logs.Lines;
 import tinford.program.Serve;
 
 /** Picks the front through which the decisions are asked. */
@@ -12,6 +13,7 @@
         if (args.length == 1 && args[0].equals("serve")) {
             int code = Serve.start(System.getenv(), System.err, Decide::new);
             if (code >= 0) {
+                Lines.flush(100);
                 System.exit(code);
             }
             return;
--- a/gateway/src/main/java/tinford/logs/Lines.java
+++ b/gateway/src/main/java/tinford/logs/Lines.java
@@ -5,9 +5,12 @@
 import java.text.MessageFormat;
 import java.time.Instant;
 import java.util.ResourceBundle;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 
 /**
- * The log behind System.Logger: one line on standard error for each entry, with time, level and part. It stands in for the
+ * The log behind System.Logger: one line on standard error for each entry, with time, level and part, written by a thread of its own. It stands in for the
  * JDK's own, whose set-up and formats take a quarter of the processor time of a start.
  */
 public final class Lines extends System.LoggerFinder {
@@ -32,7 +35,57 @@
             thrown.printStackTrace(new PrintWriter(trace));
             line.append('\n').append(trace.toString().stripTrailing());
         }
-        System.err.println(line);
+        Pipe.offer(line.toString());
+    }
+
+    /** Before the end of the process: what was told is written, if somebody reads it within that time. */
+    public static void flush(double ms) {
+        Pipe.flush(ms);
+    }
+
+    /** Guards the I/O thread against a log that nobody reads: it never waits; what finds no place is counted, and told of later. */
+    private static final class Pipe {
+        private static final int PLACES = 256;
+        private static final ArrayBlockingQueue<String> LINES = new ArrayBlockingQueue<>(PLACES);
+        private static final AtomicLong DROPPED = new AtomicLong();
+        private static final AtomicLong OPEN = new AtomicLong(); // taken in and not written
+        private static final Thread WRITER = new Thread(null, Pipe::write, "log", 128 << 10);
+
+        static {
+            WRITER.setDaemon(true);
+            WRITER.start();
+        }
+
+        static void offer(String line) {
+            OPEN.incrementAndGet();
+            if (!LINES.offer(line)) {
+                OPEN.decrementAndGet();
+                DROPPED.incrementAndGet();
+            }
+        }
+
+        static void flush(double ms) {
+            long until = System.nanoTime() + (long) (ms * 1e6);
+            while (OPEN.get() > 0 && System.nanoTime() < until) {
+                LockSupport.parkNanos(1_000_000);
+            }
+        }
+
+        private static void write() {
+            while (true) {
+                try {
+                    String line = LINES.take();
+                    long dropped = DROPPED.getAndSet(0);
+                    if (dropped > 0) {
+                        System.err.println(Instant.now() + " WARNING tinford.logs: " + dropped + " lines found no place");
+                    }
+                    System.err.println(line);
+                    OPEN.decrementAndGet();
+                } catch (InterruptedException e) {
+                    return; // nobody does
+                }
+            }
+        }
     }
 
     private static final class Line implements System.Logger {
--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
+import tinford.logs.Lines;
 import tinford.routing.Clients;
 import tinford.routing.Desk;
 import tinford.routing.Operators;
@@ -24,6 +25,7 @@
     private static final double CLIENTS_STAY = 650;
 
     private static final double LOOK = 10;
+    private static final double LAST_LINES = 100; // for the log, at the end
     private final Desk desk;
     private final Clients clients;
     private final Operators operators;
@@ -126,6 +128,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        Lines.flush(LAST_LINES);
         Runtime.getRuntime().halt(0);
     }
 
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicReference;
 import tinford.api.Gateway;
 import tinford.api.Limits;
@@ -87,7 +88,7 @@
                 TO_COUNTER) : null;
         Fields known = given.part("known");
         Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers, Handed.mustAsk(set),
-                json, known.whole("seq", 0));
+                json, known.whole("seq", 0), new Random(seed(given)));
         Peers peers = limits.peers ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
                 Addresses.of(given, "peers_all")) : null;
         desk.seat(clients, servers, counter, watch, peers);
--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.random.RandomGenerator;
 import tinford.handed.BadInput;
 import tinford.handed.Fields;
 import tinford.protocol.HttpLines;
@@ -14,7 +15,8 @@
 /** The watch on discovery. A line comes every two seconds at least; where none comes it is taken up anew. */
 public final class Watch {
     private static final double LINE_EVERY = 2000;
-    private static final double AGAIN = 250;
+    private static final double AGAIN = 200; // and what discovery has to tell counts as told within seconds, heard or not
+    private static final double MOST_AGAIN = 500;
     private static final int MOST_OUT = 4096;
     private final Desk desk;
     private InetSocketAddress at;
@@ -22,6 +24,7 @@
     private final Servers servers;
     private final boolean mustAsk;
     private final JsonFactory json;
+    private final Again again;
     private long version;
     private boolean wanted;
     private Wire wire;
@@ -29,7 +32,7 @@
 
     /** @param version of the list already known; {@code mustAsk}: a break is told, and the decisions ask again */
     public Watch(Desk desk, InetSocketAddress at, double connectWithin, Servers servers, boolean mustAsk,
-            JsonFactory json, long version) {
+            JsonFactory json, long version, RandomGenerator chance) {
         this.desk = desk;
         this.at = at;
         this.connectWithin = connectWithin;
@@ -37,6 +40,7 @@
         this.mustAsk = mustAsk;
         this.json = json;
         this.version = version;
+        this.again = new Again(AGAIN, MOST_AGAIN, chance);
     }
 
     public void want(boolean on) {
@@ -117,6 +121,7 @@
         @Override
         protected void received() {
             listen();
+            again.heard();
             try {
                 buf.take(lines.read(buf.bytes(), buf.from(), buf.to(), text -> heard(text)));
                 if (bad != null) {
@@ -164,7 +169,7 @@
                 wanted = false;
                 desk.in.listRefused();
             } else {
-                loop.after(AGAIN, () -> want(wanted));
+                loop.after(again.next(), () -> want(wanted)); // not all gateways at once
             }
         }
     }
--- a/gateway/src/test/java/tinford/logs/LinesTest.java
+++ b/gateway/src/test/java/tinford/logs/LinesTest.java
@@ -42,6 +42,7 @@
         System.setErr(new PrintStream(said, true));
         try {
             entry.run();
+            Lines.flush(10_000);
         } finally {
             System.setErr(before);
         }
@@ -67,6 +68,36 @@
         }
     }
 
+    /** Guards the I/O thread against a log that nobody reads: the pipe is full long before all is told, and it goes on. */
+    @Test
+    public void aLogThatNobodyReadsStopsNobody() throws Exception {
+        Process p = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-cp",
+                System.getProperty("java.class.path"), Talks.class.getName()).start();
+        assertEquals(new String(p.getInputStream().readNBytes(5)), "said\n"); // only then is the log read
+        String said = new String(p.getErrorStream().readAllBytes());
+        assertEquals(p.waitFor(), 0);
+        long told = said.lines().filter(l -> l.contains(" a long line ")).count();
+        long dropped = said.lines().filter(l -> l.endsWith(" lines found no place"))
+                .mapToLong(l -> Long.parseLong(l.split(" ")[3])).sum();
+        assertTrue(dropped > 0 && told + dropped == Talks.LINES + 1, told + " told, " + dropped + " dropped");
+    }
+
+    /** Says more than a pipe and all places hold, and when it has, that it has; then one line more. */
+    public static final class Talks {
+        static final int LINES = 5000;
+
+        public static void main(String[] args) {
+            System.Logger log = System.getLogger("tinford.x");
+            for (int i = 0; i < LINES; i++) {
+                log.log(Level.INFO, "a long line " + "x".repeat(100));
+            }
+            System.out.println("said");
+            Lines.flush(10_000);
+            log.log(Level.INFO, "a long line and the last");
+            Lines.flush(10_000);
+        }
+    }
+
     /** The loop of a gateway, as a process of its own. */
     public static final class Starts {
         public static void main(String[] args) throws Exception {
--- a/gateway/src/test/java/tinford/routing/RoutingTest.java
+++ b/gateway/src/test/java/tinford/routing/RoutingTest.java
@@ -1,6 +1,7 @@
 package tinford.routing;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -56,6 +57,28 @@
         assertEquals(Ends.ofCall(how, true), how == Ending.SILENT ? End.TIMED_OUT : after.mayHaveRun ? End.BROKEN : End.UNREACHABLE);
     }
 
+    /** Guards discovery against a fleet that it turned away together: all come back, each at its own time, ever more rarely. */
+    @Test
+    public void aFleetTurnedAwayTogetherComesBackSpread() {
+        int[] first = new int[10];
+        for (int gateway = 0; gateway < 1000; gateway++) {
+            Again again = new Again(200, 500, new java.util.Random(gateway * 0x9E3779B97F4A7C15L));
+            double at = again.next();
+            first[(int) ((at - 100) / 20)]++; // from 100 to 300 ms
+            double mean = 200;
+            for (int turn = 0; turn < 6; turn++) {
+                mean = Math.min(500, 2 * mean);
+                double wait = again.next();
+                assertTrue(wait >= 0.5 * mean && wait < 1.5 * mean, turn + ": " + wait);
+            }
+            again.heard();
+            assertTrue(again.next() < 300);
+        }
+        for (int part : first) {
+            assertTrue(part > 50 && part < 150, part + " of a thousand in a tenth of the time");
+        }
+    }
+
     @DataProvider
     public Object[][] addresses() {
         return new Object[][] {
