--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -543,8 +543,9 @@
         // of many gateways each would take all the room that was left
         boolean fresh() { return 4 * slice >= 1 && cur.read && now - cur.readAt < plan.burst / plan.rate; }
 
-        // where calls are short those tell most whose room is not known, or small
-        double patience() { return fresh() && fits(cur.total + plan.burst / 2) ? 4 : 0.5; }
+        // where calls are short those tell most whose room is not known, or small; and none that pass either way:
+        // guards plans whose excess costs against others that take the calls they are judged by
+        double patience() { return soft() || fresh() && fits(cur.total + plan.burst / 2) ? 4 : 0.5; }
 
         /** On the last total, as if the others have used their slices of what has come free since. */
         boolean takeKnown(double units) {
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -485,6 +485,30 @@
         assertTrue(Math.abs(asked - added) < 1.2, asked + " and " + added);
     }
 
+    /** Where calls are short they go to those whom an answer can deny: what a soft plan asks passes with it or without. */
+    @Test
+    public void shortCallsGoToPlansWhoseExcessCosts() {
+        Bed bed = new Bed();
+        long[] calls = new long[2];
+        double taken = 0; // the counter takes a call each 20 ms, a req comes each 5
+        for (int i = 0; i < 800; i++) {
+            int soft = i % 2;
+            Req req = bed.req(new Customer(i % 40, soft == 1 ? SOFT : HARD, 10, 0), READ, 0.01);
+            List<String> said = new ArrayList<>(bed.play(in -> in.arrived(req)));
+            boolean answered = bed.now - taken >= 20;
+            if (Bed.count(said, "add ") > 0) {
+                if (answered) taken = bed.now;
+                calls[soft] += i >= 200 ? 1 : 0;
+            }
+            for (List<String> now = said; Bed.count(now, "add ") > 0; said.addAll(now)) {
+                now = new ArrayList<>(answered ? bed.answers(now, 0, 1) : bed.counterEnds(End.TIMED_OUT));
+            }
+            if (Bed.count(said, "dispatch") > 0) bed.ends(req, 0, End.GOOD, true);
+            bed.pass(5);
+        }
+        assertTrue(calls[0] > 3 * calls[1], calls[0] + " hard, " + calls[1] + " soft");
+    }
+
     @Test
     public void trueUnitsAreSettledOnce() {
         Bed bed = new Bed();
