--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -512,6 +512,11 @@
                     && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
 
+        /** Whether the window before, had it passed all it may, would deny anything now. */
+        boolean overlaps() {
+            return cur.total > (plan.rate * window + plan.burst) * Math.min(1, now / window - cur.index);
+        }
+
         void spend(double units) { room -= units; known -= units; }
 
         /** How long until these units will fit, if nobody else asks. */
@@ -683,7 +688,8 @@
             job.total = call.win().total;
             if (job.decided) { takeBack(job); return; }
             job.decided = true;
-            job.waits = !job.over && call.win() == b.cur && !b.prev.read;
+            // guards a short counter against calls that can't change an answer
+            job.waits = !job.over && call.win() == b.cur && !b.prev.read && (gap < 1 || b.overlaps());
             if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -509,6 +509,28 @@
         assertTrue(calls[0] > 3 * calls[1], calls[0] + " hard, " + calls[1] + " soft");
     }
 
+    @DataProvider
+    Object[][] windowsBefore() {
+        return new Object[][] {
+            // calls without an answer before, total read 13 s into a window that holds 68 units, calls for the window before
+            {0, 5.0, 1}, {1, 5.0, 0}, {1, 29.0, 0}, {1, 32.0, 1},
+        };
+    }
+
+    /** A short counter is asked for the window before once what that may hold could change the answer, not before. */
+    @Test(dataProvider = "windowsBefore")
+    public void theWindowBeforeIsReadWhereItCanMatter(int missed, double total, int reads) {
+        Bed bed = new Bed();
+        for (int i = 0; i < missed; i++) {
+            bed.play(in -> in.arrived(bed.req(new Customer(7, HARD, 2, 0), READ, 1)));
+            bed.counterEnds(End.TIMED_OUT);
+        }
+        bed.pass(50);
+        List<String> said = bed.ask(bed.req(Bed.customer(HARD), READ, 0.1), 0, total);
+        assertEquals(said.stream().filter(s -> s.matches("add .* 0.0")).count(), reads, said.toString());
+        assertEquals(Bed.count(said, "dispatch"), 1, said.toString());
+    }
+
     @Test
     public void trueUnitsAreSettledOnce() {
         Bed bed = new Bed();
