--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -270,6 +270,8 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int unreached, slots = 1;
         boolean sick;
+        // guards against all gateways on one top, and each against opening connections to every server: drawn once
+        final double luck = chance.nextDouble();
         double barredUntil, order, tokens, born, meanStrain = 0.2, rel = 1; // its strain over the fleet's
 
         Node(Srv srv) { this.srv = srv; }
@@ -405,7 +407,7 @@
             usualFailing = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
             for (Node n : ranked) {
                 n.sick = n.fails();
-                n.order = n.meanStrain * (1 + 0.4 / n.limit * chance.nextDouble()); // no herd on one top
+                n.order = n.meanStrain * (1 + 0.4 / n.limit * n.luck);
             }
             ranked.sort((a, b) -> Double.compare(a.order, b.order));
             lift();
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import tinford.api.*;
@@ -397,6 +398,26 @@
         assertTrue(failed >= 2 && failed <= 6, "" + failed); // it is looked at still
     }
 
+    @DataProvider
+    Object[][] speeds() { return new Object[][] {{200, 120}, {1400, 12}}; } // its first server's answers take, reqs there of 120 at most
+
+    /** A gateway of little traffic keeps to few servers while they are as good as any, and to none that is not. */
+    @Test(dataProvider = "speeds")
+    public void fewReqsKeepToFewServers(double took, int most) {
+        Bed bed = new Bed(Bed.limits(false), true, false, 14);
+        bed.list(IntStream.range(0, 60).mapToObj(i -> "s" + i).toArray(String[]::new));
+        List<String> met = new ArrayList<>();
+        for (int i = 0; i < 120; i++) {
+            Req req = bed.req(Bed.customer(Bed.plan(1, 0, 0, 0)), READ, 0.1);
+            met.add(bed.ask(req, 0, 0.1).stream().filter(s -> s.startsWith("dispatch")).findFirst().orElseThrow().split(" ")[2]);
+            double time = met.get(i).equals(met.get(0)) ? took : 200;
+            bed.pass(250);
+            bed.play(in -> in.ended(req, 0, End.GOOD, time, true, 0, 0, null));
+        }
+        long first = met.stream().filter(met.get(0)::equals).count(), kinds = met.stream().distinct().count();
+        assertTrue(first <= most && kinds <= 6, kinds + " servers: " + met);
+    }
+
     @DataProvider
     Object[][] breaks() { return new Object[][] {{100, false}, {8, true}}; }
 
