--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -407,7 +407,7 @@
             usualFailing = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
             for (Node n : ranked) {
                 n.sick = n.fails();
-                n.order = n.meanStrain * (1 + 0.4 / n.limit * n.luck);
+                n.order = n.meanStrain * (1 + 0.8 / n.limit * n.luck);
             }
             ranked.sort((a, b) -> Double.compare(a.order, b.order));
             lift();
