--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -270,6 +270,8 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int unreached, slots = 1;
         boolean sick;
+        // guards against all gateways on one top, and each against opening connections to every server: drawn once
+        final double luck = chance.nextDouble();
         double barredUntil, order, tokens, born, meanStrain = 0.2, rel = 1; // its strain over the fleet's
 
         Node(Srv srv) { this.srv = srv; }
@@ -405,7 +407,7 @@
             usualFailing = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
             for (Node n : ranked) {
                 n.sick = n.fails();
-                n.order = n.meanStrain * (1 + 0.4 / n.limit * chance.nextDouble()); // no herd on one top
+                n.order = n.meanStrain * (1 + 0.8 / n.limit * n.luck);
             }
             ranked.sort((a, b) -> Double.compare(a.order, b.order));
             lift();
@@ -512,6 +514,11 @@
                     && total <= plan.burst + plan.rate * into && total - cur.total <= room(0) + 1e-6;
         }
 
+        /** Whether the window before, had it passed all it may, would deny anything now. */
+        boolean overlaps() {
+            return cur.total > (plan.rate * window + plan.burst) * Math.min(1, now / window - cur.index);
+        }
+
         void spend(double units) { room -= units; known -= units; }
 
         /** How long until these units will fit, if nobody else asks. */
@@ -683,7 +690,8 @@
             job.total = call.win().total;
             if (job.decided) { takeBack(job); return; }
             job.decided = true;
-            job.waits = !job.over && call.win() == b.cur && !b.prev.read;
+            // guards a short counter against calls that can't change an answer
+            job.waits = !job.over && call.win() == b.cur && !b.prev.read && (gap < 1 || b.overlaps());
             if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
