--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -112,7 +112,7 @@
     @Override public void heard(int peer, String text) { }
 
     @Override public void counted(long name, End how, double took, double total) {
-        quotas.answer(name, how, total);
+        quotas.answer(name, how, took, total);
     }
 
     @Override public void countedLate(long name, double total) { quotas.late(name, total); }
@@ -596,6 +596,7 @@
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
     private static final double ASK_SILENT_MS = 50; // all gateways together look for its end this often
     private static final double CALM_MS = 700, SLOWER = 1.5; // gaps between calls: shrink in, grow by
+    private static final double QUEUED = 0.35; // of its time, over the least that calls take: it waited behind others
     private static final double LATE_MS = 1000; // a counter that answers late is slow, not silent
     private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
 
@@ -608,6 +609,7 @@
         int unanswered;
         double askedAt = Double.NEGATIVE_INFINITY, slowedAt = askedAt, lateAt = askedAt;
         double gap; // between calls; none under 1 ms
+        double least = Double.POSITIVE_INFINITY, leastBefore = least, leastSince; // that calls took, of late
 
         Quotas(CounterTerms terms) { this.terms = terms; }
 
@@ -663,7 +665,7 @@
             job.passed = !job.over && posture(job);
         }
 
-        void answer(long name, End how, double total) {
+        void answer(long name, End how, double took, double total) {
             ArrayDeque<Call> queue = calls.get(name);
             if (queue == null) return;
             Call call = queue.poll();
@@ -673,7 +675,7 @@
             boolean good = how == End.GOOD;
             unanswered = good || how == End.BROKEN ? 0 : unanswered + 1; // resets are no silence
             boolean slow = unanswered < SILENT_AFTER || now - lateAt < LATE_MS;
-            if (how != End.BROKEN) pace(good);
+            if (how != End.BROKEN) pace(good, took);
             if (good) read(call, total);
             if (call.reads() && job.waits) judge(job);
             if (call.reads()) return;
@@ -695,9 +697,18 @@
             if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
-        // guards against a counter that bears less than a call a req: fewer made, more answered in time
-        private void pace(boolean answered) {
-            if (answered) gap *= 1 - Math.min(0.3, gap / CALM_MS);
+        // guards against a counter that bears less than a call a req: fewer made, more answered in time. Of many
+        // gateways each sees the line there grow by the time of its calls, before any is missed
+        private void pace(boolean answered, double took) {
+            if (now - leastSince > 10_000) {
+                leastBefore = least;
+                least = Double.POSITIVE_INFINITY;
+                leastSince = now;
+            }
+            if (answered) least = Math.min(least, took);
+            boolean queued = gap > terms.timeout / 8
+                    && took > Math.min(least, leastBefore) + QUEUED * terms.timeout;
+            if (answered && !queued) gap *= 1 - Math.min(0.3, gap / CALM_MS);
             else if (now - slowedAt >= terms.timeout) {
                 gap = Math.min(ASK_SILENT_MS * place.gateways, Math.max(1, gap) * SLOWER);
                 slowedAt = now;
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
@@ -506,6 +508,40 @@
         assertTrue(Math.abs(asked - added) < 1.2, asked + " and " + added);
     }
 
+    /** A counter that takes a call each 20 ms and answers all that come: its line is kept short of what is waited for. */
+    @Test
+    public void theLineAtAShortCounterIsKeptShort() {
+        Bed bed = new Bed();
+        Map<Long, Req> reqs = new HashMap<>();
+        List<double[]> line = new ArrayList<>(); // name, made at, answered at
+        double idle = 0;
+        long made = 0, missed = 0;
+        for (int i = 0; i < 20_000; i++, bed.now++) {
+            List<String> said = i % 50 == 0 ? bed.pass(0.001) : new ArrayList<>();
+            if (i % 5 == 0) {
+                Req req = bed.req(new Customer(i % 2000, HARD, 2, 0), READ, 0.01);
+                reqs.put(req.id, req);
+                said.addAll(bed.play(in -> in.arrived(req)));
+            }
+            for (double[] call : List.copyOf(line)) {
+                boolean late = bed.now - call[1] >= 50;
+                if (!late && bed.now < call[2]) continue;
+                line.remove(call);
+                missed += late && i > 10_000 ? 1 : 0;
+                said.addAll(bed.play(in -> in.counted((long) call[0], late ? End.TIMED_OUT : End.GOOD, bed.now - call[1], 0.01)));
+            }
+            for (String s : said) {
+                String[] w = s.split(" ");
+                if (w[0].equals("dispatch")) bed.ends(reqs.get(Long.parseLong(w[1])), 0, End.GOOD, true);
+                if (!w[0].equals("add")) continue;
+                idle = Math.max(idle, bed.now) + 20;
+                line.add(new double[] {Long.parseLong(w[1]), bed.now, idle});
+                made += i > 10_000 ? 1 : 0;
+            }
+        }
+        assertTrue(made > 300 && missed < 0.15 * made, missed + " of " + made + " calls missed");
+    }
+
     /** Where calls are short they go to those whom an answer can deny: what a soft plan asks passes with it or without. */
     @Test
     public void shortCallsGoToPlansWhoseExcessCosts() {
