--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -101,7 +101,7 @@
         if (job.begun || hop.end != null) return;
         job.begun = hop.begun = true;
         // its server has answered; how long the rest takes is its client's doing
-        fleet.learn(hop, End.GOOD, now - hop.at);
+        fleet.learn(hop, End.GOOD, now - hop.at, req.units);
         finished.add(now, 1);
     }
 
@@ -123,7 +123,7 @@
         Hop hop = job.hops.get(no);
         hop.end = how;
         job.book.open--;
-        if (!hop.begun) fleet.learn(hop, how, took);
+        if (!hop.begun) fleet.learn(hop, how, took, settled > 0 ? settled : job.req.units);
         boolean good = how == End.GOOD;
         if (!hop.begun && (good || how == End.BROKEN)) (good ? finished : broken).add(now, 1);
         if (good && settled > 0) quotas.settle(job, settled);
@@ -160,11 +160,15 @@
     private final class Hop {
         final Job job;
         final Node node;
-        final double at = now;
+        final double at = now, size;
         End end;
         boolean late, apart, begun; // past the target; far past what the fleet takes now; its answer flows
 
-        Hop(Job job, Node node) { this.job = job; this.node = node; }
+        Hop(Job job, Node node) {
+            this.job = job;
+            this.node = node;
+            this.size = fleet.size(job.req.units);
+        }
     }
 
     /** What one plan lately asked inside its quotas, and what of it was sent on. */
@@ -301,7 +305,8 @@
         final Rules rules;
         final double start = 5.0 / place.gateways; // five out at a server of middling size, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>(), cold = new ArrayList<>();
-        double meanUnits = 1, meanSize = 1, pooled = 0.12, sum, usualFailing; // strain, limits of the fleet
+        double meanUnits = 1, meanPart = 0.12, unitsSquared = 1, unitsTimesPart = 0.12; // of answers, by size
+        double meanSize = 1, pooled = 0.12, sum, usualFailing; // strain, limits of the fleet
         int out, apart, most, slots = 1;
 
         Fleet(Rules rules) { this.rules = rules; }
@@ -318,7 +323,24 @@
             rank();
         }
 
-        double typical(Req r) { return Math.min(0.8, Math.max(0.1, 1.3 * pooled)) * r.frontend.target; }
+        double typical(Req r) {
+            return Math.min(0.8, Math.max(0.1, 1.3 * pooled * size(r.units))) * r.frontend.target;
+        }
+
+        /** How long a req of so many units takes, over one of mean size: a line through the answers of late. */
+        double size(double units) {
+            double spread = unitsSquared - meanUnits * meanUnits;
+            double slope = spread < 0.01 ? 0 : (unitsTimesPart - meanUnits * meanPart) / spread;
+            slope = Math.max(0, Math.min(slope, meanPart / meanUnits)); // nothing takes less than no time
+            return Math.max(0.1, 1 + slope * (units - meanUnits) / Math.max(1e-9, meanPart));
+        }
+
+        private void weigh(double units, double part) {
+            meanUnits += 0.02 * (units - meanUnits);
+            meanPart += 0.02 * (part - meanPart);
+            unitsSquared += 0.02 * (units * units - unitsSquared);
+            unitsTimesPart += 0.02 * (units * part - unitsTimesPart);
+        }
 
         // guards against a fleet of few cores before many gateways, each with part of a slot at each server
         boolean room() { return out < slots && ranked.stream().anyMatch(n -> n.running.size() < n.slots); }
@@ -342,7 +364,6 @@
             Node n = hop.node;
             n.running.add(hop);
             most = Math.max(most, ++out);
-            meanUnits += 0.02 * (hop.job.req.units - meanUnits);
             if (n.cold()) n.tokens -= hop.job.req.units / meanUnits; else warmed();
         }
 
@@ -353,15 +374,18 @@
             for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
         }
 
-        void learn(Hop hop, End how, double took) {
+        void learn(Hop hop, End how, double took, double units) {
             Node n = hop.node;
             n.running.remove(hop);
             if (hop.apart) apart--; else out--;
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
-                case GOOD -> answer(n, part, part > 1 && !hop.late);
-                case TIMED_OUT -> answer(n, Math.max(1, part), !hop.late);
+                case GOOD -> {
+                    weigh(units, part);
+                    answer(n, part / size(units), part > 1 && !hop.late);
+                }
+                case TIMED_OUT -> answer(n, Math.max(1, part / hop.size), !hop.late);
                 case ERROR, BROKEN -> {
                     answer(n, n.meanStrain, true);
                     // guards against what fails at once and is free at once: one at a time is many a second
@@ -419,14 +443,14 @@
             for (Hop h : n.running) {
                 double part = (now - h.at) / h.job.req.frontend.target;
                 // guards a gateway of few slots against the few servers that keep them
-                if (part > 3 * pooled && !h.apart && apart < slots) {
+                if (part > 3 * pooled * h.size && !h.apart && apart < slots) {
                     h.apart = true;
                     apart++;
                     out--;
                 }
-                if (part <= n.meanStrain) continue;
+                if (part <= n.meanStrain * h.size) continue;
                 seen++;
-                sum += Math.min(part, 2);
+                sum += Math.min(part / h.size, 2);
                 if (part <= 1 || h.late) continue;
                 h.late = true;
                 n.late.add(now, 1);
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -404,7 +404,9 @@
     }
 
     @DataProvider
-    Object[][] speeds() { return new Object[][] {{200, 120}, {1400, 12}}; } // its first server's answers take, reqs there of 120 at most
+    Object[][] speeds() {
+        return new Object[][] {{200, 120}, {1400, 12}}; // its first server's answers take, reqs there of 120 at most
+    }
 
     /** A gateway of little traffic keeps to few servers while they are as good as any, and to none that is not. */
     @Test(dataProvider = "speeds")
@@ -423,6 +425,43 @@
         assertTrue(first <= most && kinds <= 6, kinds + " servers: " + met);
     }
 
+    /** Large reqs take long anywhere: a server that happened to get some is no slower than the others. */
+    @Test
+    public void whoGetsLargeReqsIsNotLeftForIt() {
+        Bed bed = new Bed(Bed.limits(false), true, false, 14);
+        bed.list(IntStream.range(0, 60).mapToObj(i -> "s" + i).toArray(String[]::new));
+        Customer c = Bed.customer(new Plan("p", 1, 1000, 0, 1, 1, 0, 0, 0, 0));
+        List<String> met = new ArrayList<>();
+        for (int i = 0; i < 240; i++) {
+            Req req = bed.req(c, READ, i % 10 == 0 ? 6 : 1);
+            met.add(bed.ask(req, 0, 0.1).stream().filter(s -> s.startsWith("dispatch")).findFirst().orElseThrow().split(" ")[2]);
+            double took = 200 * req.units;
+            bed.pass(50);
+            bed.play(in -> in.ended(req, 0, End.GOOD, took, true, 0, 0, null));
+        }
+        long kinds = met.subList(60, 240).stream().distinct().count();
+        assertEquals(kinds, 1, met.toString());
+    }
+
+    @DataProvider
+    Object[][] hurries() { return new Object[][] {{1, 900, "dispatch"}, {6, 900, "deny"}, {6, 1900, "dispatch"}}; }
+
+    /** What a req will take goes by its units: one that can't be answered in time is denied at once, one that can is not. */
+    @Test(dataProvider = "hurries")
+    public void aReqIsGivenTheTimeOfItsSize(double units, double left, String then) {
+        Bed bed = new Bed();
+        Customer c = Bed.customer(new Plan("p", 1, 1000, 0, 1, 1, 0, 0, 0, 0));
+        for (int i = 0; i < 200; i++) {
+            Req req = bed.req(c, READ, 1 + i % 6);
+            if (Bed.count(bed.ask(req, 0, 0.1), "dispatch") == 0) continue;
+            double took = 200 * req.units;
+            bed.pass(50);
+            bed.play(in -> in.ended(req, 0, End.GOOD, took, true, 0, 0, null));
+        }
+        Req hurried = new Req(9999, READ, c, bed.now + left, units, false);
+        assertEquals(Bed.count(bed.ask(hurried, 0, 0.1), then), 1);
+    }
+
     @DataProvider
     Object[][] breaks() { return new Object[][] {{100, false}, {8, true}}; }
 
