--- a/deploy/gateway.sh
+++ b/deploy/gateway.sh
@@ -2,16 +2,23 @@
 # Starts one gateway in its place, with the memory that its configuration gives it. The shell starts no other program:
 # where processes may not fork, this has to go through all the same.
 mb= managed=
+# Field by field: the shell looks for a pattern in a text by trying all its beginnings, and in a list of servers on one line that
+# took as long as the rest of the start
+set -f
+IFS=,{}
 while read -r line || [ -n "$line" ]; do
-    case $line in *'"management"'*) managed=1;; esac
-    case $line in
-        *'"memory_mb"'*)
-            mb=${line#*'"memory_mb"'}
-            mb=${mb#*:}
-            mb=${mb#"${mb%%[0-9]*}"}
-            mb=${mb%%[!0-9]*};;
-    esac
+    for field in $line; do
+        case $field in
+            *'"management"'*) managed=1;;
+            *'"memory_mb"'*)
+                mb=${field#*'"memory_mb"'}
+                mb=${mb#*:}
+                mb=${mb#"${mb%%[0-9]*}"}
+                mb=${mb%%[!0-9]*};;
+        esac
+    done
 done < "${ROUTER_CONFIG:-/dev/null}"
+unset IFS
 heap=$((${mb:-192} * 3 / 10))
 # where a second process may stand beside this one, both have to fit
 if [ -n "$managed" ] && [ "$heap" -gt $((${mb:-192} / 2 - 30)) ]; then heap=$((${mb:-192} / 2 - 30)); fi
