Decisions see a fleet's view; a gateway holds no more connections than it says

Nothing handed decisions anything that more gateways than one had settled. Inbox.sees brings a tinford.api.View; Decide asks it at the places that already decide: admit (part that passes, whether a req goes anywhere), again (the fleet's budget), allowed (group, connections, a customer's share), Node.tried (who looks after a server put aside), finish (spread of times to come back). The count of connections, idle and opening ones included, is held in Servers.carry alone; what is too many goes in trim, idle first, busy ones behind their answers. A connection for which there is no room is no longer opened to be given up in the same turn (Link.open). program.Companion is what a main class of another jar may hand to Serve. Weighed: a parameter of Gateway.Maker (every maker and test would change for what one front has), a static hook (mutable and hidden).

--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -40,6 +40,7 @@
     private double now, startedAt, spare, meanWorth = 1;
     private double leftAt = Double.POSITIVE_INFINITY; // another process of this gateway takes its reqs since
     private Writer out;
+    private View view = new View(); // of a fleet; alone it bounds nothing, and all here is as if it were not
 
     public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, Goal goal,
             boolean mustAsk) {
@@ -65,6 +66,8 @@
         out.alarm(TICK, TICK_MS);
     }
 
+    @Override public void sees(View fleet) { view = fleet; }
+
     /** No ceiling has filled here while another process drew on it. */
     @Override public void takesOver() { startedAt = now; }
 
@@ -123,6 +126,7 @@
         Hop hop = job.hops.get(no);
         hop.end = how;
         job.book.open--;
+        view.ended(req, hop.node.srv, how, now > job.targetAt);
         if (!hop.begun) fleet.learn(hop, how, took, settled > 0 ? settled : job.req.units);
         boolean good = how == End.GOOD;
         if (!hop.begun && (good || how == End.BROKEN)) (good ? finished : broken).add(now, 1);
@@ -190,7 +194,13 @@
     /** A req within its quota goes to a server, into the line, or is denied when the line would be late. */
     private void admit(Job job) {
         double dry = job.hops.isEmpty() ? job.book.ceilingWait(job.req.units) : 0;
-        if (job.hops.isEmpty()) job.book.tally.asked.add(now, job.worth * job.req.units);
+        if (job.hops.isEmpty()) {
+            job.book.tally.asked.add(now, job.worth * job.req.units);
+            view.asked(job.req, job.worth);
+            // what the whole fleet sheds now is shed wherever it enters, at once; so is what may go nowhere
+            double part = view.goes(job.req) ? view.part(job.worth) : 0;
+            if (part < 1 && chance.nextDouble() >= part) { finish(job, 0); return; }
+        }
         if (send(job, fleet.pick(job))) return;
         double one = Math.min(Ring.SPAN / finished.total(now), job.req.frontend.target); // ends as often
         double wait = line.headSet(job).size() * one;
@@ -216,7 +226,8 @@
     private void again(Job job, End how) {
         job.reach();
         double costs = how.mayHaveRun ? 1 : 0;
-        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches && spare >= costs;
+        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches
+                && view.further(spare) >= costs;
         if (may) spare -= costs;
         if (may) admit(job); else finish(job, now < job.targetAt ? 0 : job.req.frontend.target);
     }
@@ -227,7 +238,9 @@
         Effect effect = job.req.frontend.effect;
         boolean harmless = effect == Effect.REPLAYABLE || !job.mayHaveRun()
                 || effect == Effect.UNIQUED && job.req.frontend.group == Group.ALL;
-        if (harmless) out.deny(job.req, Math.max(wait, 2 * TICK_MS)); else out.abort(job.req);
+        wait = Math.max(wait, 2 * TICK_MS);
+        if (view.spread() > 0) wait += view.spread() * chance.nextDouble(); // not all come back together
+        if (harmless) out.deny(job.req, wait); else out.abort(job.req);
     }
 
     /** Every rule on dispatches, asked by every dispatch. */
@@ -235,8 +248,10 @@
         Frontend f = job.req.frontend;
         if (job.over || job.begun || now >= job.req.expires || node.srv.state != Srv.State.UP
                 || job.hops.size() >= limits.maxDispatches) { return false; }
+        Srv first = null;
         for (Hop h : job.hops) {
             if (h.end == null && !limits.mayDuplicate) return false;
+            if (h.end == null || h.end.mayHaveRun) first = h.node.srv;
             if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.REPLAYABLE) continue;
             Srv was = h.node.srv;
             boolean drops = f.group == Group.ALL || f.group == Group.ZONE && was.zone.equals(node.srv.zone)
@@ -246,6 +261,11 @@
             }
         }
         if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return false;
+        if (!view.mayGo(job.req, node.srv, first)) return false;
+        if (node.running.size() >= view.mayHold(node.srv) || job.book.open >= view.mayUse(job.req.customer)) {
+            view.lacked(job.req);
+            return false;
+        }
         return !node.cold() || node.tokens >= 1;
     }
 
@@ -256,6 +276,7 @@
             job.book.tally.sent.add(now, job.worth * job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
         }
+        view.sent(job.req, node.srv, job.worth, !job.hops.isEmpty());
         Hop hop = new Hop(job, node);
         job.hops.add(hop);
         job.book.open++;
@@ -281,7 +302,16 @@
         Node(Srv srv) { this.srv = srv; }
 
         /** Full, down, no connection left, or failing: asked again ever more rarely, up to 4 s. */
-        void bar() { barredUntil = now + 250 * (1 << Math.min(4, unreached++)); }
+        void bar() {
+            barredUntil = now + 250 * (1 << Math.min(4, unreached++));
+            view.ill(srv, true);
+        }
+
+        /** One that was put aside is tried by the gateway of the fleet that looks after it. */
+        boolean tried() {
+            return now >= barredUntil && (!sick || running.isEmpty())
+                    && (!sick && unreached == 0 || view.looksAfter(srv));
+        }
 
         double failing() { return late.total(now) / Math.max(4, answers.total(now) + running.size()); }
 
@@ -353,8 +383,8 @@
             for (Node n : cold) { if (now >= n.barredUntil && allowed(job, n)) return n; }
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
-                    if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && now >= n.barredUntil
-                            && (!n.sick || n.running.isEmpty()) && allowed(job, n)) { return n; }
+                    if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && n.tried()
+                            && allowed(job, n)) { return n; }
                 }
             }
             return null;
@@ -378,6 +408,7 @@
             Node n = hop.node;
             n.running.remove(hop);
             if (hop.apart) apart--; else out--;
+            if (how == End.GOOD && n.unreached > 0) view.ill(n.srv, false);
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
--- a/gateway/src/main/java/tinford/api/Inbox.java
+++ b/gateway/src/main/java/tinford/api/Inbox.java
@@ -7,6 +7,9 @@
     /** The first call of a gateway's life, alone in carrying no input: it may set its timers. */
     void started();
 
+    /** From now on this is what a fleet has settled; without this call a gateway is alone. */
+    default void sees(View view) { }
+
     /** Another process of this gateway took its reqs so far; from now on they come here. */
     void takesOver();
 
--- a/gateway/src/main/java/tinford/api/Srv.java
+++ b/gateway/src/main/java/tinford/api/Srv.java
@@ -8,6 +8,8 @@
     public final String id;
     public String zone;
     public int cell;
+    /** The group of servers that it belongs to, as the list names it; empty where none is told. */
+    public String group = "";
     public State state;
     public double size;
     /** Its last start, or 0 for one long past. */
--- a/gateway/src/main/java/tinford/api/View.java
+++ b/gateway/src/main/java/tinford/api/View.java
@@ -1,17 +1,12 @@
 package tinford.api;
 
 /**
- * What a fleet has settled, as its decisions see it in one gateway, and what that gateway tells of itself. As it stands here it is the
+ * What a fleet has settled, as the decisions of one gateway see it, and what that gateway tells of itself. As it stands here it is the
  * view of a gateway that is alone: nothing is bounded, nothing is told. All calls come on the I/O thread, within a round.
  */
 public class View {
-    /** Worth a unit below which a req is not passed now; 0 where the fleet is not strained. */
-    public double threshold() {
-        return 0;
-    }
-
-    /** Of the units right at the threshold, the part that passes. */
-    public double partAtThreshold() {
+    /** Of the units worth so much each, the part that passes now; 1 where the fleet is not strained. */
+    public double part(double worth) {
         return 1;
     }
 
@@ -25,7 +20,7 @@
         return true;
     }
 
-    /** Connections that this gateway may hold at the server. */
+    /** Connections that this gateway may hold at the server, idle ones included. */
     public int mayHold(Srv srv) {
         return Integer.MAX_VALUE;
     }
@@ -35,28 +30,33 @@
         return Integer.MAX_VALUE;
     }
 
-    /** Whether reqs of the frontend go to the server's group now; {@code first} is where an earlier dispatch may have run, or null. */
+    /** Whether the req may go to the server now; {@code first} is where an earlier dispatch of it may have run, or null. */
     public boolean mayGo(Req req, Srv srv, Srv first) {
         return true;
     }
 
+    /** Whether it may go anywhere at all. */
+    public boolean goes(Req req) {
+        return true;
+    }
+
     /** By how much at most a time to come back is put off by chance, so that those denied together do not return together. */
     public double spread() {
         return 0;
     }
 
-    /** A req within its quota was asked for. */
+    /** A req within its quota was asked for, worth so much a unit. */
     public void asked(Req req, double worth) { }
 
-    /** It was denied, because of the threshold or otherwise. */
-    public void denied(Req req, double worth) { }
-
     /** It went to a server, for the first time or again. */
-    public void sent(Req req, Srv srv, boolean further) { }
+    public void sent(Req req, Srv srv, double worth, boolean further) { }
 
     /** What went to a server has ended. */
     public void ended(Req req, Srv srv, End how, boolean late) { }
 
+    /** It could not go where it wanted, as no connection or share of its customer was free. */
+    public void lacked(Req req) { }
+
     /** A server was put aside, or is as others again. */
     public void ill(Srv srv, boolean ill) { }
 }
--- a/gateway/src/main/java/tinford/program/Companion.java
+++ b/gateway/src/main/java/tinford/program/Companion.java
@@ -3,22 +3,22 @@
 import java.util.function.Consumer;
 import tinford.api.Place;
 import tinford.api.View;
+import tinford.transport.Loop;
 
-/** What acts beside a gateway for a whole fleet. A gateway that is handed none is alone, and loads none of it. */
+/** What acts beside a gateway for a whole fleet, on its I/O thread. A gateway that is handed none is alone, and loads none of it. */
 public interface Companion {
     /**
-     * Called once, on the I/O thread, before anything else comes in.
+     * Called once, within the first round and before anything comes in.
      *
-     * @param enter runs what it is given on the I/O thread, from any thread, soon
-     * @param start of this process, Unix ms
+     * @param enter from any thread: runs what it is given within a round, soon
      */
-    View join(Place place, double start, Consumer<Runnable> enter);
+    View join(Place place, Consumer<Loop.Due> enter);
 
-    /** On the I/O thread, each {@link #every} ms. */
-    void tick(double now);
+    /** Within a round, each {@link #every} ms. */
+    void tick();
 
     double every();
 
-    /** This process is told to end: what it holds is given back as it comes free. */
+    /** Within a round: this process is told to end, and goes on until all it took is answered. */
     void leaves();
 }
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -53,8 +53,13 @@
 
     /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
     public static int start(Map<String, String> env, PrintStream err, Gateway.Maker maker) {
+        return start(env, err, maker, null);
+    }
+
+    /** @param companion acts for a fleet beside this gateway, and has the datagrams between gateways; null for a gateway alone */
+    public static int start(Map<String, String> env, PrintStream err, Gateway.Maker maker, Companion companion) {
         try {
-            run(env, maker);
+            run(env, maker, companion);
             return -1;
         } catch (BadInput e) {
             err.println("tinford: " + e.getMessage());
@@ -66,7 +71,7 @@
         return 1;
     }
 
-    private static void run(Map<String, String> env, Gateway.Maker maker) throws IOException {
+    private static void run(Map<String, String> env, Gateway.Maker maker, Companion companion) throws IOException {
         JsonFactory json = new JsonFactory();
         AtomicReference<FileTime> seen = new AtomicReference<>(written(env.get("ROUTER_CONFIG")));
         Fields given = read(json, env.get("ROUTER_CONFIG"));
@@ -89,7 +94,7 @@
         Fields known = given.part("known");
         Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers, Handed.mustAsk(set),
                 json, known.whole("seq", 0), new Random(seed(given)));
-        Peers peers = limits.peers ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
+        Peers peers = limits.peers && companion == null ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
                 Addresses.of(given, "peers_all")) : null;
         desk.seat(clients, servers, counter, watch, peers);
         Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
@@ -101,6 +106,10 @@
             if (managed) {
                 operators.begin();
             }
+            if (companion != null) {
+                desk.sees(companion.join(Handed.place(set), desk.loop::enter));
+                accompany(desk, servers, companion);
+            }
             servers.list(known);
             if (!first) {
                 handover.await();
@@ -115,7 +124,12 @@
         if (managed) {
             operators.listen(Addresses.of(given, "management"));
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(handover::leave, "leave"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (companion != null) {
+                desk.loop.enter(companion::leaves);
+            }
+            handover.leave();
+        }, "leave"));
         // guards against the end that SIGHUP is to a JVM by itself
         onHangUp(() -> {
             seen.set(written(env.get("ROUTER_CONFIG")));
@@ -130,6 +144,14 @@
         });
     }
 
+    private static void accompany(Desk desk, Servers servers, Companion companion) {
+        desk.loop.after(companion.every(), () -> {
+            companion.tick();
+            servers.trim();
+            accompany(desk, servers, companion);
+        });
+    }
+
     /** The JDK has no other way to hear a signal, and the compiler warns wherever this one is named; hence by its name. */
     private static void onHangUp(Runnable then) {
         try {
--- a/gateway/src/main/java/tinford/routing/Backend.java
+++ b/gateway/src/main/java/tinford/routing/Backend.java
@@ -12,6 +12,8 @@
     double listedBorn;
     /** Connections with nothing in them, the last used first. */
     final ArrayDeque<ServerLink> idle = new ArrayDeque<>();
+    /** All connections to it, those that are still opening included. */
+    int links;
 
     Backend(String id) {
         super(id);
--- a/gateway/src/main/java/tinford/routing/Desk.java
+++ b/gateway/src/main/java/tinford/routing/Desk.java
@@ -9,6 +9,7 @@
 import tinford.api.Inbox;
 import tinford.api.Req;
 import tinford.api.Srv;
+import tinford.api.View;
 import tinford.api.Writer;
 import tinford.transport.Clock;
 import tinford.transport.Ending;
@@ -30,6 +31,8 @@
     private Counter counter;
     private Watch watch;
     private Peers peers;
+    /** What a fleet has settled; alone, it bounds nothing. */
+    View view = new View();
     /** Of the present round. */
     Inbox in;
     double now = clock.now();
@@ -56,6 +59,12 @@
         in.started();
     }
 
+    /** Within a round: the gateway is one of a fleet from now on. */
+    public void sees(View fleet) {
+        view = fleet;
+        in.sees(fleet);
+    }
+
     /** Within a round: this process has the reqs of this gateway from another one, or gives them to one. */
     public void takesOver() {
         in.takesOver();
--- a/gateway/src/main/java/tinford/routing/Servers.java
+++ b/gateway/src/main/java/tinford/routing/Servers.java
@@ -73,6 +73,7 @@
             b.born = bans.born(b.id, born);
             b.zone = e.text("site");
             b.cell = (int) e.whole("block", 0);
+            b.group = e.has("class") ? e.text("class") : "";
             b.size = e.real("share", 1);
         }
         boolean whole = list.flag("whole");
@@ -136,10 +137,16 @@
             if (links >= most) {
                 makeRoom();
             }
+            // the one place that holds what the fleet may hold at a server: an idle one that has not rested gives its place
+            if (b.links >= desk.view.mayHold(b) && !b.idle.isEmpty()) {
+                b.idle.peekLast().end(Ending.RETIRED);
+            }
+            boolean room = b.links < desk.view.mayHold(b) && links < most;
             link = new ServerLink(desk, this, b);
             links++;
+            b.links++;
             link.carry(d, patience);
-            link.connect(links > most ? 0 : connectWithin);
+            link.connect(room ? connectWithin : 0);
         } else {
             link.carry(d, patience);
         }
@@ -169,7 +176,7 @@
     }
 
     void free(ServerLink link) {
-        if (link.backend.state == Srv.State.UP) {
+        if (link.backend.state == Srv.State.UP && link.backend.links <= desk.view.mayHold(link.backend)) {
             link.idleSince = desk.now;
             link.backend.idle.addFirst(link);
         } else {
@@ -179,6 +186,7 @@
 
     void gone(ServerLink link, Ending how) {
         links--;
+        link.backend.links--;
         link.backend.idle.remove(link);
         // guards against connections that look idle and lead to a machine that is gone: none can be opened to it
         if (how == Ending.REFUSED || how == Ending.NEVER_UP) {
@@ -186,6 +194,15 @@
         }
     }
 
+    /** What the fleet may hold has become less somewhere: idle connections go now, the others behind their answers. */
+    public void trim() {
+        for (Backend b : backends.values()) {
+            while (b.links > desk.view.mayHold(b) && !b.idle.isEmpty()) {
+                b.idle.peekLast().end(Ending.RETIRED);
+            }
+        }
+    }
+
     void retire(Backend b) {
         while (!b.idle.isEmpty()) {
             b.idle.peekFirst().end(Ending.RETIRED);
--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -58,8 +58,9 @@
         return connection != null && buf.unwritten() == 0;
     }
 
+    /** @param within 0 where there is no room for it: then none is opened */
     protected final void open(InetSocketAddress to, double within) {
-        holds = loop.takeDescriptor();
+        holds = within > 0 && loop.takeDescriptor();
         if (!holds) {
             fail(Ending.NO_ROOM);
             return;
