--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -274,7 +274,7 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int unreached, slots = 1;
         boolean sick;
-        // guards against all gateways on one top, and each against opening connections to every server: drawn once
+        // drawn once: guards against all gateways on one top, and each against connections to every server
         final double luck = chance.nextDouble();
         double barredUntil, order, tokens, born, meanStrain = 0.2, rel = 1; // its strain over the fleet's
 
@@ -327,7 +327,7 @@
             return Math.min(0.8, Math.max(0.1, 1.3 * pooled * size(r.units))) * r.frontend.target;
         }
 
-        /** How long a req of so many units takes, over one of mean size: a line through the answers of late. */
+        /** What a req of so many units takes, over one of mean size: a line through the answers of late. */
         double size(double units) {
             double spread = unitsSquared - meanUnits * meanUnits;
             double slope = spread < 0.01 ? 0 : (unitsTimesPart - meanUnits * meanPart) / spread;
@@ -574,8 +574,8 @@
         // of many gateways each would take all the room that was left
         boolean fresh() { return 4 * slice >= 1 && cur.read && now - cur.readAt < plan.burst / plan.rate; }
 
-        // where calls are short those tell most whose room is not known, or small; and none that pass either way:
-        // guards plans whose excess costs against others that take the calls they are judged by
+        // where calls are short those tell most whose room is not known, or small; and none that pass either
+        // way: guards plans whose excess costs against others that take the calls they are judged by
         double patience() { return soft() || fresh() && fits(cur.total + plan.burst / 2) ? 4 : 0.5; }
 
         /** On the last total, as if the others have used their slices of what has come free since. */
@@ -620,7 +620,7 @@
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
     private static final double ASK_SILENT_MS = 50; // all gateways together look for its end this often
     private static final double CALM_MS = 700, SLOWER = 1.5; // gaps between calls: shrink in, grow by
-    private static final double QUEUED = 0.35; // of its time, over the least that calls take: it waited behind others
+    private static final double QUEUED = 0.35; // of its time, over the least that calls take: it waited there
     private static final double LATE_MS = 1000; // a counter that answers late is slow, not silent
     private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
 
@@ -721,8 +721,8 @@
             if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
-        // guards against a counter that bears less than a call a req: fewer made, more answered in time. Of many
-        // gateways each sees the line there grow by the time of its calls, before any is missed
+        // guards against a counter that bears less than a call a req: fewer made, more answered in time. Of
+        // many gateways each sees the line there grow by the time of its calls, before any is missed
         private void pace(boolean answered, double took) {
             if (now - leastSince > 10_000) {
                 leastBefore = least;
