A silent watch is followed by another within 2.9 s, whatever bytes still come; indented lists are read

Need: what a watch misses counts as told 6 s after it fell silent. Seen with a stand-in discovery on real connections in driven time: a watch that fell silent was given up after 4 s, the next one, silent too, after 8.5 s; bytes that never made a line (a trickle of half an object, or of blanks) kept a dead watch for good; an indented list was refused line by line, and asked for again four times a second, as was an answer 503 (91 connections in 20 s: any bytes made the waits short again); a list older than the one held put back what had been taken out; with lists that are asked for, all gateways came back 500 ms after a break, together. At fault: Watch.received, which took any bytes for life, the one limit of 4 s, Watch.line, which looked at the number of a fetched list only; HttpLines hands over lines, and a list was one line. Change: only whole objects and empty lines count (protocol.JsonLines, on Jackson's non-blocking reader). A silent watch stays while another is opened beside it by chance, so that a slow discovery is heard as well; the first to speak stays, two at most. The watch looks after itself in the same way where lists are asked for. A move drops what was waited for. Timers go by a time that tests can drive. Ruled out: a longer limit for a new watch alone (a silent one costs the 6 s); closing the silent one first (an answer after 3 s would never be heard); the silence measured in bytes with a bound on half lines (a list may be long and slow).

--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -87,7 +87,7 @@
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout,
                 TO_COUNTER) : null;
         Fields known = given.part("known");
-        Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers, Handed.mustAsk(set),
+        Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers,
                 json, known.whole("seq", 0), new Random(seed(given)));
         Peers peers = limits.peers ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
                 Addresses.of(given, "peers_all")) : null;
--- a/gateway/src/main/java/tinford/routing/Desk.java
+++ b/gateway/src/main/java/tinford/routing/Desk.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import tinford.api.End;
 import tinford.api.Gateway;
 import tinford.api.Inbox;
@@ -38,9 +39,14 @@
 
     /** @param bytes what the buffers of all connections may take */
     public Desk(Gateway gateway, int mostDispatches, int descriptors, long bytes) throws IOException {
+        this(gateway, mostDispatches, descriptors, bytes, System::nanoTime);
+    }
+
+    /** @param nanos the time that timers go by */
+    Desk(Gateway gateway, int mostDispatches, int descriptors, long bytes, LongSupplier nanos) throws IOException {
         this.gateway = gateway;
         this.mostDispatches = mostDispatches;
-        this.loop = new Loop(this::turn, descriptors, bytes);
+        this.loop = new Loop(this::turn, descriptors, bytes, nanos);
     }
 
     public void seat(Clients clients, Servers servers, Counter counter, Watch watch, Peers peers) {
--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -7,14 +7,20 @@
 import tinford.handed.BadInput;
 import tinford.handed.Fields;
 import tinford.protocol.HttpLines;
+import tinford.protocol.JsonLines;
 import tinford.protocol.Malformed;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 import tinford.transport.Loop;
 
-/** The watch on discovery. A line comes every two seconds at least; where none comes it is taken up anew. */
+/**
+ * The watch on discovery. A line comes every two seconds at least; where none comes another watch is opened beside the
+ * silent one, and the first to bring a line stays. Bounded: two connections.
+ */
 public final class Watch {
-    private static final double LINE_EVERY = 2000;
+    private static final double SILENT = 2600; // a line is due every 2 s: what is asked anew may well come within 6 s
+    private static final double UNHEARD = 1300; // for the first line, before another is opened; then a quarter longer each time
+    private static final double MOST_UNHEARD = 2600;
     private static final double AGAIN = 200; // and what discovery has to tell counts as told within seconds, heard or not
     private static final double MOST_AGAIN = 500;
     private static final int MOST_OUT = 4096;
@@ -22,22 +28,24 @@
     private InetSocketAddress at;
     private final double connectWithin;
     private final Servers servers;
-    private final boolean mustAsk;
     private final JsonFactory json;
     private final Again again;
     private long version;
     private boolean wanted;
-    private Wire wire;
+    private Wire wire; // the newest, or the one that speaks
+    private Wire before; // silent, but it may only be slow
+    private double unheard = UNHEARD;
+    private Loop.Timer silence;
+    private Loop.Timer opening;
     private Runnable lost = () -> { };
 
-    /** @param version of the list already known; {@code mustAsk}: a break is told, and the decisions ask again */
-    public Watch(Desk desk, InetSocketAddress at, double connectWithin, Servers servers, boolean mustAsk,
-            JsonFactory json, long version, RandomGenerator chance) {
+    /** @param version of the list already known */
+    public Watch(Desk desk, InetSocketAddress at, double connectWithin, Servers servers, JsonFactory json, long version,
+            RandomGenerator chance) {
         this.desk = desk;
         this.at = at;
         this.connectWithin = connectWithin;
         this.servers = servers;
-        this.mustAsk = mustAsk;
         this.json = json;
         this.version = version;
         this.again = new Again(AGAIN, MOST_AGAIN, chance);
@@ -45,14 +53,14 @@
 
     public void want(boolean on) {
         wanted = on;
-        if (on && wire == null) {
-            wire = new Wire(false);
-        } else if (!on && wire != null) {
-            wire.end(Ending.RETIRED);
+        if (!on) {
+            drop();
+        } else if (wire == null && opening == null) {
+            open();
         }
     }
 
-    /** Called whenever the watch has ended without being told to. */
+    /** Called whenever the watch has fallen silent, or has ended without being told to. */
     public void whenLost(Runnable then) {
         lost = then;
     }
@@ -63,12 +71,8 @@
             return;
         }
         at = to;
-        Wire old = wire;
-        if (old != null) {
-            wire = null;
-            old.end(Ending.RETIRED);
-            want(wanted);
-        }
+        drop();
+        want(wanted);
     }
 
     /** The whole list, once. */
@@ -76,17 +80,77 @@
         new Wire(true);
     }
 
-    private void line(String text, boolean once) throws Malformed {
-        if (text.isEmpty()) {
-            return;
+    private void open() {
+        opening = null;
+        Wire oldest = before;
+        before = wire;
+        wire = new Wire(false);
+        if (oldest != null) {
+            oldest.end(Ending.RETIRED);
+        }
+        listen(unheard);
+        unheard = Math.min(MOST_UNHEARD, 1.25 * unheard);
+    }
+
+    // guards against a watch that is open and dead: only what is whole shows that it is not
+    private void listen(double most) {
+        stop(silence);
+        silence = desk.loop.after(most, this::anew);
+    }
+
+    private void anew() {
+        stop(silence);
+        lost.run();
+        if (wanted && opening == null) {
+            opening = desk.loop.after(again.next(), this::open); // not all gateways at once
+        }
+    }
+
+    private void speaks(Wire one) {
+        Wire other = one == wire ? before : wire;
+        wire = one;
+        before = null;
+        if (other != null) {
+            other.end(Ending.RETIRED);
+        }
+        stop(opening);
+        opening = null;
+        again.heard();
+        unheard = UNHEARD;
+        listen(SILENT);
+    }
+
+    private void drop() {
+        stop(silence);
+        stop(opening);
+        opening = null;
+        again.heard();
+        unheard = UNHEARD;
+        Wire[] had = {wire, before};
+        wire = before = null;
+        for (Wire w : had) {
+            if (w != null) {
+                w.end(Ending.RETIRED);
+            }
         }
+    }
+
+    private static void stop(Loop.Timer timer) {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+
+    private void list(String text) throws Malformed {
         try {
             Fields list = Fields.of(json, "discovery", text);
             long seq = list.whole("seq");
-            if (!once || seq >= version) {
-                servers.list(list);
-                version = seq;
+            if (seq < version) { // guards against a late one that puts back what was taken out
+                desk.complain(Level.WARNING, "discovery", "", new Malformed("no list older than the one held"));
+                return;
             }
+            servers.list(list);
+            version = seq;
         } catch (BadInput e) {
             throw new Malformed(e.getMessage());
         }
@@ -94,8 +158,9 @@
 
     private final class Wire extends Link {
         private final HttpLines lines = new HttpLines();
+        private final JsonLines objects = new JsonLines(json);
         private final boolean once;
-        private Loop.Timer silence;
+        private Malformed bad;
 
         Wire(boolean once) {
             super(desk.loop, 64 << 10, MOST_OUT);
@@ -106,24 +171,12 @@
         }
 
         @Override
-        protected void opened() {
-            listen();
-        }
-
-        // guards against a watch that is open and dead
-        private void listen() {
-            if (silence != null) {
-                silence.cancel();
-            }
-            silence = loop.after(2 * LINE_EVERY, () -> end(Ending.SILENT));
-        }
+        protected void opened() { }
 
         @Override
         protected void received() {
-            listen();
-            again.heard();
             try {
-                buf.take(lines.read(buf.bytes(), buf.from(), buf.to(), text -> heard(text)));
+                buf.take(lines.read(buf.bytes(), buf.from(), buf.to(), this::line));
                 if (bad != null) {
                     throw bad;
                 }
@@ -136,11 +189,18 @@
             }
         }
 
-        private Malformed bad;
-
-        private void heard(String text) {
+        private void line(String text) {
             try {
-                line(text, once);
+                String whole = bad == null && !over() ? objects.take(text) : null;
+                if (whole == null) {
+                    return;
+                }
+                if (!whole.isEmpty()) {
+                    list(whole);
+                }
+                if (!once) {
+                    speaks(this);
+                }
             } catch (Malformed e) {
                 bad = e;
             }
@@ -148,28 +208,16 @@
 
         @Override
         protected void ended(Ending how) {
-            if (silence != null) {
-                silence.cancel();
-            }
             if (once) {
                 if (how != Ending.ENDED) {
                     desk.in.listRefused();
                 }
-                return;
-            }
-            if (wire != this) {
-                return; // another has its place
-            }
-            wire = null;
-            if (!wanted) {
-                return;
-            }
-            lost.run();
-            if (mustAsk) {
-                wanted = false;
-                desk.in.listRefused();
-            } else {
-                loop.after(again.next(), () -> want(wanted)); // not all gateways at once
+            } else if (before == this) {
+                before = null;
+            } else if (wire == this) {
+                wire = before;
+                before = null;
+                anew();
             }
         }
     }
--- a/gateway/src/main/java/tinford/transport/Loop.java
+++ b/gateway/src/main/java/tinford/transport/Loop.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -35,6 +36,7 @@
     /** For the buffers of all connections. */
     final Room room;
     private final Turn turn;
+    private final LongSupplier nanos;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private List<Due> due = new ArrayList<>();
     private List<Due> playing = new ArrayList<>();
@@ -68,9 +70,11 @@
     /**
      * @param descriptors how many connections there may be, over all parties
      * @param bytes what all their buffers may take
+     * @param nanos the time that timers go by; where it is driven, whoever drives it wakes the loop with {@link #enter}
      */
-    public Loop(Turn turn, int descriptors, long bytes) throws IOException {
+    public Loop(Turn turn, int descriptors, long bytes, LongSupplier nanos) throws IOException {
         this.turn = turn;
+        this.nanos = nanos;
         this.room = new Room(bytes);
         this.descriptors = descriptors;
         worker = Xnio.getInstance("nio").createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
@@ -90,7 +94,7 @@
     }
 
     public Timer after(double ms, Due then) {
-        Timer t = new Timer(System.nanoTime() + (long) (Math.max(0, ms) * 1e6), then);
+        Timer t = new Timer(nanos.getAsLong() + (long) (Math.max(0, ms) * 1e6), then);
         timers.add(t);
         call(); // only the end of a turn sets the alarm
         return t;
@@ -98,7 +102,7 @@
 
     /** Plays the timers that have run out, then what came in, each once. */
     public void playAll() {
-        long now = System.nanoTime();
+        long now = nanos.getAsLong();
         while (!timers.isEmpty() && (timers.peek().then == null || timers.peek().at <= now)) {
             Due then = timers.poll().then;
             if (then != null) {
@@ -191,7 +195,7 @@
         if (timers.isEmpty()) {
             return;
         }
-        long ms = Math.max(0, (armedFor - System.nanoTime() + 999_999) / 1_000_000);
+        long ms = Math.max(0, (armedFor - nanos.getAsLong() + 999_999) / 1_000_000);
         armed = thread.executeAfter(() -> {
             armed = null;
             armedFor = Long.MAX_VALUE;
--- a/gateway/src/test/java/tinford/logs/LinesTest.java
+++ b/gateway/src/test/java/tinford/logs/LinesTest.java
@@ -101,7 +101,7 @@
     /** The loop of a gateway, as a process of its own. */
     public static final class Starts {
         public static void main(String[] args) throws Exception {
-            new tinford.transport.Loop(() -> { }, 1, 1).close();
+            new tinford.transport.Loop(() -> { }, 1, 1, System::nanoTime).close();
         }
     }
 }
--- a/gateway/src/test/java/tinford/program/SocketTest.java
+++ b/gateway/src/test/java/tinford/program/SocketTest.java
@@ -967,9 +967,15 @@
                 + text + "\r\n");
     }
 
-    @Test
-    public void watchIsTakenUpAgainAndDrainsAreKept() throws Exception {
-        Talk client = up();
+    @DataProvider
+    public Object[][] discoveries() {
+        return new Object[][] {{"automatic"}, {"subscribe"}};
+    }
+
+    /** Whether lists come by themselves or are asked for. */
+    @Test(dataProvider = "discoveries")
+    public void watchIsTakenUpAgainAndDrainsAreKept(String how) throws Exception {
+        Talk client = up("\"Discovery\":\"automatic\"", "\"Discovery\":\"" + how + "\"");
         Talk watch = accept(discovery);
         assertEquals(watch.line(), "GET /registry/instances?watch=1&after=41 HTTP/1.1");
         chunk(watch, "\n{\"seq\":43,\"whole\":false,\"hosts\":[" + entry(1, servers[1], "ready") + "]}\n", true);
