The first list is heard before the first client: a drain pushed while a process starts is kept

Cause: Serve.run opened the clients' door (handover.first) before the watch was even asked, and acted on the known list until the first list came. Change: the door opens once the first line of the watch has come, or after 400 ms where the agent says nothing; where lists are asked for nothing changes. The new test fails with a wait of 0 and passes with it.

--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import tinford.api.Gateway;
 import tinford.api.Limits;
@@ -49,6 +50,9 @@
     /** Of the connections to the counter one that hangs holds up a part of the calls; counters take many more from an address. */
     private static final int TO_COUNTER = 4;
 
+    /** Discovery's agent answers at once; one that has said nothing by then is down, and the list known is all there is. */
+    private static final double FIRST_LIST = 400;
+
     private Serve() {}
 
     /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
@@ -100,7 +104,8 @@
         Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
         Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn)) : null;
         Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"), sockets / 2);
-        boolean first = handover.first();
+        CountDownLatch tried = new CountDownLatch(1);
+        AtomicReference<IOException> shut = new AtomicReference<>();
         desk.loop.enter(() -> {
             desk.begin();
             if (managed) {
@@ -111,16 +116,29 @@
                 accompany(desk, servers, companion);
             }
             servers.list(known);
-            if (!first) {
-                handover.await();
-            }
             if (counter != null) {
                 counter.connect();
             }
+            // guards against a list out of date: what is pushed counts as told from this process's first moment on
+            watch.whenFirst(Handed.mustAsk(set) ? 0 : FIRST_LIST, () -> {
+                try {
+                    if (!handover.first()) {
+                        handover.await();
+                    }
+                } catch (IOException e) {
+                    shut.set(e);
+                }
+                tried.countDown();
+            });
             if (!Handed.mustAsk(set)) {
                 watch.want(true);
             }
         });
+        await(tried);
+        if (shut.get() != null) {
+            desk.loop.close();
+            throw shut.get();
+        }
         if (managed) {
             operators.listen(Addresses.of(given, "management"));
         }
@@ -152,6 +170,14 @@
         });
     }
 
+    private static void await(CountDownLatch what) throws IOException {
+        try {
+            what.await();
+        } catch (InterruptedException e) {
+            throw new IOException("the start was cut short", e);
+        }
+    }
+
     /** The JDK has no other way to hear a signal, and the compiler warns wherever this one is named; hence by its name. */
     private static void onHangUp(Runnable then) {
         try {
--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -38,6 +38,7 @@
     private Loop.Timer silence;
     private Loop.Timer opening;
     private Runnable lost = () -> { };
+    private Runnable first = () -> { };
 
     /** @param version of the list already known */
     public Watch(Desk desk, InetSocketAddress at, double connectWithin, Servers servers, JsonFactory json, long version,
@@ -65,6 +66,18 @@
         lost = then;
     }
 
+    /** Called once: when the first line has come, or after {@code most} without one. */
+    public void whenFirst(double most, Runnable then) {
+        first = then;
+        desk.loop.after(most, this::first);
+    }
+
+    private void first() {
+        Runnable then = first;
+        first = () -> { };
+        then.run();
+    }
+
     /** From now on there; the list held, and its version, stay. */
     public void move(InetSocketAddress to) {
         if (to.equals(at)) {
@@ -118,6 +131,7 @@
         again.heard();
         unheard = UNHEARD;
         listen(SILENT);
+        first();
     }
 
     private void drop() {
--- a/gateway/src/test/java/tinford/program/SocketTest.java
+++ b/gateway/src/test/java/tinford/program/SocketTest.java
@@ -997,6 +997,35 @@
         says(log, "discovery: expected discovery: seq: expected a whole number");
     }
 
+    /** A list that says what has changed since the one known is heard before the first client is let in. */
+    @Test
+    public void theFirstListIsHeardBeforeTheFirstClient() throws Exception {
+        Thread agent = new Thread(() -> {
+            try {
+                Talk watch = accept(discovery);
+                watch.line();
+                Thread.sleep(150); // a client that is let in meanwhile would have its req sent where the known list says
+                chunk(watch, "{\"seq\":42,\"whole\":false,\"hosts\":[" + entry(0, servers[0], "draining") + ","
+                        + entry(1, servers[1], "ready") + "]}\n", true);
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        agent.start();
+        Talk client = up();
+        for (int i = 0; i < 4; i++) {
+            client.say(ask(i));
+            Talk server = accept(servers[1]);
+            server.hear();
+            server.say(value("ok"));
+            assertEquals(client.hear(), "ok");
+            server.socket.close();
+        }
+        agent.join();
+        servers[0].setSoTimeout(1);
+        assertThrows(java.net.SocketTimeoutException.class, () -> accept(servers[0]));
+    }
+
     @Test
     public void sigtermLeavesNothingUnanswered() throws Exception {
         Talk client = up();
