--- a/lab/src/main/java/tinford/lab/model/ColdBudget.java
+++ b/lab/src/main/java/tinford/lab/model/ColdBudget.java
@@ -11,14 +11,13 @@
  */
 final class ColdBudget {
     private static final double BLAMED = 2.0 / 3; // of the reqs that come from gateways told of the start: beyond, it is their fall
+    private static final Approach NONE = new Approach(Double.NaN, 0, 0, Double.POSITIVE_INFINITY, 0);
     private final double multiple;
     private final double time;
     private final double meanWork;
     private final Map<Machine, Window> windows = new HashMap<>();
-    private double nearest;
-    private double nearestTold;
-    private double nearestAt;
-    private double nearestBlamed;
+    private Approach nearest = NONE;
+    private Approach nearestBlamed = NONE;
     private long falls;
 
     /** What came to one server since its start, no longer ago than the fall time. */
@@ -39,7 +38,7 @@
      *
      * @param of what may come, more than 1 is a fall; {@code told} the share of the reqs from gateways that knew of the start
      */
-    record Approach(double of, double reqs, double most, double told) {
+    record Approach(double at, double of, double reqs, double most, double told) {
         boolean falls() {
             return of > 1;
         }
@@ -64,7 +63,7 @@
     Approach arrives(Machine m, double work, double now, boolean told) {
         if (!m.cold()) {
             windows.remove(m);
-            return new Approach(0, 0, Double.POSITIVE_INFINITY, 0);
+            return NONE;
         }
         Window w = windows.get(m);
         if (w == null || w.born != m.born) {
@@ -78,8 +77,13 @@
         }
         double reqs = w.came.stream().mapToDouble(Came::work).sum() / meanWork;
         double most = most(multiple * m.capacity() * time / meanWork);
-        Approach a = new Approach(reqs / most, reqs, most, (double) w.told / w.came.size());
-        keep(a, now);
+        Approach a = new Approach(now, reqs / most, reqs, most, (double) w.told / w.came.size());
+        if (a.of > nearest.of) {
+            nearest = a;
+        }
+        if (a.told > BLAMED && a.of > nearestBlamed.of) {
+            nearestBlamed = a;
+        }
         if (a.falls()) {
             falls++;
             windows.remove(m);
@@ -87,33 +91,13 @@
         return a;
     }
 
-    private void keep(Approach a, double now) {
-        if (a.told > BLAMED) {
-            nearestBlamed = Math.max(nearestBlamed, a.of);
-        }
-        if (a.of > nearest) {
-            nearest = a.of;
-            nearestTold = a.told;
-            nearestAt = now;
-        }
-    }
-
-    /** The greatest part of the bound that any cold server got. */
-    double nearest() {
+    /** The greatest part of the bound that any cold server got; before there was one, nought. */
+    Approach nearest() {
         return nearest;
     }
 
-    /** The share of that which came from gateways told of the start. */
-    double nearestTold() {
-        return nearestTold;
-    }
-
-    double nearestAt() {
-        return nearestAt;
-    }
-
     /** The same over those arrivals alone of which over two thirds came from gateways told of the start. */
-    double nearestBlamed() {
+    Approach nearestBlamed() {
         return nearestBlamed;
     }
 
--- a/lab/src/main/java/tinford/lab/model/Outcome.java
+++ b/lab/src/main/java/tinford/lab/model/Outcome.java
@@ -23,11 +23,7 @@
     long things;
     double load;
     double seconds;
-    double coldNearest;
-    double coldTold;
-    double coldBlamed;
-    double coldAt;
-    long coldFalls;
+    private final Map<String, Double> cold = new TreeMap<>();
     final Histogram took = new Histogram(3_600_000, 3);
     List<String> broken = List.of();
     long brokenCount;
@@ -57,6 +53,16 @@
         return things;
     }
 
+    /** How near cold servers came to their bound, in a run that began at {@code start}. */
+    void cold(ColdBudget b, double start) {
+        cold.put("cold_nearest", b.nearest().of());
+        cold.put("cold_told", b.nearest().told());
+        cold.put("cold_at_s", b.nearest().of() > 0 ? (b.nearest().at() - start) / 1000 : 0);
+        cold.put("cold_blamed", b.nearestBlamed().of());
+        cold.put("cold_blamed_at_s", b.nearestBlamed().of() > 0 ? (b.nearestBlamed().at() - start) / 1000 : 0);
+        cold.put("cold_falls", (double) b.falls());
+    }
+
     /** Every try ends once: with one of these. */
     public boolean conserved() {
         return tries == took.getTotalCount() + denied + aborted + unanswered;
@@ -76,11 +82,7 @@
         f.put("p99_ms", (double) took.getValueAtPercentile(99));
         f.put("p999_ms", (double) took.getValueAtPercentile(99.9));
         f.put("load", load);
-        f.put("cold_nearest", coldNearest);
-        f.put("cold_told", coldTold);
-        f.put("cold_blamed", coldBlamed);
-        f.put("cold_at_s", coldAt);
-        f.put("cold_falls", (double) coldFalls);
+        f.putAll(cold);
         f.put("tries", (double) tries);
         f.put("rules_broken", (double) brokenCount);
         return f;
--- a/lab/src/main/java/tinford/lab/model/World.java
+++ b/lab/src/main/java/tinford/lab/model/World.java
@@ -153,11 +153,7 @@
         outcome.broken = Collections.unmodifiableList(oracle.broken());
         outcome.brokenCount = oracle.count();
         outcome.things = agenda.done();
-        outcome.coldNearest = oracle.cold().nearest();
-        outcome.coldTold = oracle.cold().nearestTold();
-        outcome.coldBlamed = oracle.cold().nearestBlamed();
-        outcome.coldAt = oracle.cold().nearest() > 0 ? (oracle.cold().nearestAt() - START) / 1000 : 0;
-        outcome.coldFalls = oracle.cold().falls();
+        outcome.cold(oracle.cold(), START);
         return outcome;
     }
 
--- a/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
+++ b/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
@@ -45,8 +45,8 @@
             fell |= a.falls();
             blamed |= a.broken();
         }
-        assertEquals(List.of(fell, blamed), List.of(falls, broken), "nearest " + budget.nearest());
-        assertEquals(budget.nearest() > 1, falls);
+        assertEquals(List.of(fell, blamed), List.of(falls, broken), "" + budget.nearest());
+        assertEquals(List.of(budget.nearest().falls(), budget.nearestBlamed().falls()), List.of(falls, broken));
         assertEquals(budget.falls(), falls ? 1 : 0);
     }
 
