Members: soft records told about by chance, and who lives by them

Each gateway needs what the others saw, and how many live, at a cost that doesn't grow with the fleet. A message of 256 bytes carries the own record, others' (rates of one byte on a log scale, 3.5 % off at most), and signs of life of 7 bytes, which say only that one lived, and when.

--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/members/Sights.java
@@ -0,0 +1,250 @@
+package tinford.fleet.members;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Messages: a version byte; records, the sender's own first; a byte 0, and signs of life, which say only that one lived, and when. Rates take one byte each on a log scale, ten steps an
+ * octave from 1/64 to 635 000, zero by itself: 3.5 % off at most. A record has 31 bytes, one for each class that is used and a bit
+ * (61 with all classes used), one more for each class that was sent in part, and five for each server named: 115 at most.
+ */
+public final class Sights {
+    /** The longest message, whatever the transport bears. */
+    public static final int MOST = 256;
+    public static final int LONGEST = 115;
+    private static final byte VERSION = 1;
+    /** From a record's beginning: length, gateway, start, seq, made, age, body. */
+    private static final int GATEWAY = 1;
+    private static final int START = 3;
+    private static final int SEQ = 9;
+    private static final int MADE = 13;
+    private static final int AGE = 18;
+    private static final int BODY = 20;
+    private static final double AGE_UNIT = 2;
+    /** The greatest age that can be told, ms. */
+    public static final double OLDEST = 65535 * AGE_UNIT;
+    private static final int RATES = 9;
+    /** Bytes of a sign of life: gateway, the start's low bits, and when it lived, in {@link #SIGN_UNIT} ms since its start, three bytes. */
+    static final int SIGN = 7;
+    private static final double SIGN_UNIT = 8;
+    private static final int SIGN_UNITS = 1 << 24;
+    private static final int STEPS = 10;
+    private static final double LEAST = 1.0 / 64;
+    private static final double[] VALUES = new double[256];
+
+    static {
+        for (int i = 1; i < 256; i++) {
+            VALUES[i] = LEAST * Math.pow(2, (i - 1.0) / STEPS);
+        }
+    }
+
+    private final int gateways;
+    private final double ahead;
+
+    /**
+     * A record as told.
+     *
+     * @param made on its owner's clock, ms since its start
+     * @param age ms since its owner made it, as the teller counts
+     * @param raw as it came, for telling it on, with what a later version put at its end
+     */
+    public record Told(Sight sight, double made, double age, byte[] raw) { }
+
+    /** @param ahead by how many ms a start may lie in the future */
+    public Sights(int gateways, double ahead) {
+        this.gateways = gateways;
+        this.ahead = ahead;
+    }
+
+    static int code(double rate) {
+        if (!(rate > 0)) {
+            return 0;
+        }
+        return (int) Math.max(1, Math.min(255, Math.round(Math.log(rate / LEAST) / Math.log(2) * STEPS) + 1));
+    }
+
+    static double value(int code) {
+        return VALUES[code & 255];
+    }
+
+    public static byte[] raw(Sight s, double made) {
+        ByteBuffer b = ByteBuffer.allocate(LONGEST);
+        b.put((byte) 0).putShort((short) s.life.gateway());
+        long start = s.life.start();
+        b.putShort((short) (start >> 32)).putInt((int) start).putInt(s.seq);
+        long ms = (long) Math.max(0, made);
+        b.put((byte) (ms >> 32)).putInt((int) ms).putShort((short) 0);
+        for (double rate : new double[] {s.first, s.further, s.good, s.late, s.failed, s.goodUnits, s.open, s.waiting, s.bears}) {
+            b.put((byte) code(rate));
+        }
+        classes(s, b);
+        int n = Math.min(s.ills.size(), Sight.MOST_ILL);
+        b.put((byte) n);
+        for (Sight.Ill ill : s.ills.subList(0, n)) {
+            long ago = Math.max(0, Math.min(127, Math.round(8 * Math.log(Math.max(ill.ago(), 1)) / Math.log(2))));
+            b.putInt(ill.server()).put((byte) (ago | (ill.ill() ? 128 : 0)));
+        }
+        b.put(0, (byte) b.position());
+        return java.util.Arrays.copyOf(b.array(), b.position());
+    }
+
+    /** How many classes; two bits each: 0 not used, 1 all sent, 2 none sent, 3 both rates; then the rates. */
+    private static void classes(Sight s, ByteBuffer b) {
+        int n = Sight.CLASSES;
+        while (n > 0 && code(s.asked[n - 1]) == 0 && code(s.sent[n - 1]) == 0) {
+            n--;
+        }
+        b.put((byte) n);
+        int kinds = b.position();
+        b.position(kinds + (n + 3) / 4);
+        for (int c = 0; c < n; c++) {
+            int asked = code(s.asked[c]);
+            int sent = code(s.sent[c]);
+            int kind = asked == 0 && sent == 0 ? 0 : asked == sent ? 1 : sent == 0 ? 2 : 3;
+            int at = kinds + c / 4;
+            b.put(at, (byte) (b.get(at) | kind << 2 * (c % 4)));
+            if (kind != 0) {
+                b.put((byte) asked);
+            }
+            if (kind == 3) {
+                b.put((byte) sent);
+            }
+        }
+    }
+
+    /** An empty message to be filled by {@link #add}. */
+    public static ByteBuffer message(int most) {
+        return ByteBuffer.allocate(Math.min(most, MOST)).put(VERSION);
+    }
+
+    /** Whether there was room; the age is rounded up. */
+    public static boolean add(ByteBuffer message, byte[] raw, double age) {
+        if (raw.length > message.remaining() || age > OLDEST) {
+            return false;
+        }
+        int at = message.position();
+        message.put(raw).putShort(at + AGE, (short) Math.ceil(Math.max(0, age) / AGE_UNIT));
+        return true;
+    }
+
+    /** Ends the records; what follows are signs of life. */
+    static void endRecords(ByteBuffer message) {
+        if (message.hasRemaining()) {
+            message.put((byte) 0);
+        }
+    }
+
+    /** Whether there was room. When it lived is rounded down. */
+    static boolean sign(ByteBuffer message, Life life, double lived) {
+        if (message.remaining() < SIGN) {
+            return false;
+        }
+        long unit = (long) Math.floor(lived / SIGN_UNIT);
+        message.putShort((short) life.gateway()).putShort((short) life.start()).put((byte) (unit >> 16)).putShort((short) unit);
+        return true;
+    }
+
+    /** Ms since the start: of those that the three bytes may mean (they come round after 37 hours) the nearest to what is expected. */
+    static double unwrap(int unit, double expected) {
+        return (unit + Math.rint((expected / SIGN_UNIT - unit) / SIGN_UNITS) * SIGN_UNITS) * SIGN_UNIT;
+    }
+
+    /** The signs of a message that {@link #read} took. */
+    static ByteBuffer signs(byte[] message) {
+        int at = 1;
+        while (at < message.length && message[at] != 0) {
+            at += message[at] & 255;
+        }
+        at = Math.min(message.length, at + 1);
+        return ByteBuffer.wrap(message, at, message.length - at);
+    }
+
+    public static byte[] whole(ByteBuffer message) {
+        return java.util.Arrays.copyOf(message.array(), message.position());
+    }
+
+    /**
+     * The records of a message; none where the message is of another version, torn, or its first record absurd. Of the others those
+     * that are absurd are left out. Never throws.
+     */
+    public List<Told> read(byte[] message, double now) {
+        if (message.length < 2 || message.length > MOST || message[0] != VERSION) {
+            return List.of();
+        }
+        ByteBuffer b = ByteBuffer.wrap(message);
+        List<Told> read = new ArrayList<>(6);
+        for (int at = 1; at < message.length && (at == 1 || message[at] != 0);) {
+            int length = message[at] & 255;
+            if (length < BODY || at + length > message.length) {
+                return List.of();
+            }
+            Sight sight = sane(b, at, now) ? sight(b, at, at + length) : null;
+            if (sight != null) {
+                double made = (message[at + MADE] & 255L) * (1L << 32) + (b.getInt(at + MADE + 1) & 0xFFFFFFFFL);
+                double age = (b.getShort(at + AGE) & 0xFFFF) * AGE_UNIT;
+                read.add(new Told(sight, made, age, java.util.Arrays.copyOfRange(message, at, at + length)));
+            } else if (at == 1) {
+                return List.of();
+            }
+            at += length;
+        }
+        return read;
+    }
+
+    /** A record that {@link #read} took. */
+    static Sight of(byte[] raw) {
+        return sight(ByteBuffer.wrap(raw), 0, raw.length);
+    }
+
+    private static long start(ByteBuffer b, int at) {
+        return (b.getShort(at + START) & 0xFFFFL) << 32 | b.getInt(at + START + 2) & 0xFFFFFFFFL;
+    }
+
+    private boolean sane(ByteBuffer b, int at, double now) {
+        return (b.getShort(at + GATEWAY) & 0xFFFF) < gateways && start(b, at) <= now + ahead;
+    }
+
+    /** Null where the record's fields don't fit into its length, or count beyond what there is. */
+    private static Sight sight(ByteBuffer b, int at, int end) {
+        int p = at + BODY;
+        if (p + RATES + 1 > end) {
+            return null;
+        }
+        Sight s = new Sight(new Life(b.getShort(at + GATEWAY) & 0xFFFF, start(b, at)), b.getInt(at + SEQ));
+        s.first = value(b.get(p++));
+        s.further = value(b.get(p++));
+        s.good = value(b.get(p++));
+        s.late = value(b.get(p++));
+        s.failed = value(b.get(p++));
+        s.goodUnits = value(b.get(p++));
+        s.open = value(b.get(p++));
+        s.waiting = value(b.get(p++));
+        s.bears = value(b.get(p++));
+        int n = b.get(p++) & 255;
+        int kinds = p;
+        p += (n + 3) / 4;
+        if (n > Sight.CLASSES || p > end) {
+            return null;
+        }
+        for (int c = 0; c < n; c++) {
+            int kind = b.get(kinds + c / 4) >> 2 * (c % 4) & 3;
+            if (p + (kind == 3 ? 2 : kind == 0 ? 0 : 1) > end) {
+                return null;
+            }
+            if (kind != 0) {
+                s.asked[c] = value(b.get(p++));
+                s.sent[c] = kind == 1 ? s.asked[c] : kind == 2 ? 0 : value(b.get(p++));
+            }
+        }
+        int ills = p < end ? b.get(p++) & 255 : Sight.MOST_ILL + 1;
+        if (ills > Sight.MOST_ILL || p + 5 * ills > end) {
+            return null;
+        }
+        for (int i = 0; i < ills; i++, p += 5) {
+            int how = b.get(p + 4) & 255;
+            s.ills.add(new Sight.Ill(b.getInt(p), how >= 128, Math.pow(2, (how & 127) / 8.0)));
+        }
+        return s;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/members/Fleet.java
@@ -0,0 +1,100 @@
+package tinford.fleet.members;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import tinford.fleet.talk.Memory;
+import tinford.fleet.talk.Talk;
+
+/** A fleet of members in virtual time, for tests: each renews its record and has its round every 100 ms, at a moment of its own. */
+final class Fleet {
+    static final double EVERY = 100;
+    static final int FANOUT = 2;
+    final Memory.Network net;
+    final Members[] members;
+    final Talk[] talks;
+    final boolean[] stopped;
+    final int[] seq;
+    /** By life and seq: when the record was made. */
+    final Map<Life, List<Double>> made = new HashMap<>();
+    final Random chance;
+    double now = 1000;
+    private final double suspectAfter;
+    /** How many times as much as others a gateway sees. */
+    final double[] sees;
+
+    Fleet(int n, double suspectAfter, double freshFor, long seed) {
+        net = new Memory.Network(n, 256, 200, seed);
+        net.advance(now);
+        members = new Members[n];
+        talks = new Talk[n];
+        stopped = new boolean[n];
+        seq = new int[n];
+        sees = new double[n];
+        chance = new Random(seed);
+        this.suspectAfter = suspectAfter;
+        this.freshFor = freshFor;
+        for (int i = 0; i < n; i++) {
+            sees[i] = 1;
+            start(i, 1000);
+        }
+    }
+
+    private final double freshFor;
+
+    void start(int i, long at) {
+        Members m = new Members(new Life(i, at), members.length, EVERY, FANOUT, suspectAfter, freshFor, new Random(chance.nextLong()));
+        members[i] = m;
+        seq[i] = 0;
+        stopped[i] = false;
+        talks[i] = net.at(i, (from, message) -> m.heard(message, from, net.now()));
+    }
+
+    void kill(int i) {
+        talks[i].close();
+        stopped[i] = true;
+    }
+
+    /** Advances by one round of all, in ten steps, a tenth of the gateways at each. */
+    void round() {
+        for (int step = 0; step < 10; step++) {
+            now += EVERY / 10;
+            net.advance(now);
+            for (int i = step; i < members.length; i += 10) {
+                if (!stopped[i]) {
+                    turn(i);
+                }
+            }
+        }
+    }
+
+    private void turn(int i) {
+        Sight s = new Sight(members[i].life(i), seq[i]);
+        seq[i]++;
+        made.computeIfAbsent(s.life, l -> new ArrayList<>()).add(now);
+        for (int c = 4; c < 14; c++) {
+            s.asked[c] = 10 * sees[i];
+            s.sent[c] = c < 9 ? 0 : c == 9 ? 3 * sees[i] : s.asked[c];
+        }
+        s.first = 50 * sees[i];
+        members[i].own(s, now);
+        members[i].round(now, talks[i]);
+    }
+
+    void run(double ms) {
+        for (double end = now + ms; now < end;) {
+            round();
+        }
+    }
+
+    /** Ms until it is so, at most {@code most}. */
+    double until(double most, java.util.function.BooleanSupplier so) {
+        double from = now;
+        while (!so.getAsBoolean() && now - from < most) {
+            round();
+        }
+        return now - from;
+    }
+}
