--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/store/BrokenStoresTest.java
@@ -0,0 +1,130 @@
+package tinford.fleet.store;
+
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Stores that are wrong on purpose: the contract must catch each. */
+public class BrokenStoresTest {
+    enum Wrong { NONE, IN_PLACE, NO_SUM, ACKNOWLEDGES_EARLY, MIXES, THROWS_WHEN_TORN, TRUSTS_THE_FUTURE }
+
+    /** Over the store in memory, so that each is right but for one thing. */
+    private static final class Broken extends StoreContract {
+        private final Wrong wrong;
+
+        Broken(Wrong wrong) {
+            this.wrong = wrong;
+        }
+
+        @Override
+        Place place() {
+            MemoryStore.Platter platter = new MemoryStore.Platter();
+            Store right = new MemoryStore(platter, LARGEST, wrong == Wrong.TRUSTS_THE_FUTURE ? Double.MAX_VALUE : AHEAD);
+            Place under = new MemoryStoreTest().place();
+            return new Place() {
+                @Override
+                public Store open() {
+                    return new Store() {
+                        private boolean closed;
+
+                        @Override
+                        public Found read(double now) {
+                            byte[] bytes = platter.bytes();
+                            if (wrong == Wrong.THROWS_WHEN_TORN && bytes != null && bytes.length < Sealed.HEAD) {
+                                throw new IllegalStateException("torn");
+                            }
+                            if (wrong == Wrong.NO_SUM && bytes != null && bytes.length >= Sealed.HEAD) {
+                                ByteBuffer from = ByteBuffer.wrap(bytes);
+                                byte[] content = Arrays.copyOfRange(bytes, Sealed.HEAD, bytes.length);
+                                // asks for all but the sum
+                                platter.bytes(ByteBuffer.wrap(Sealed.seal(content, from.getDouble(8))).putInt(0, from.getInt(0))
+                                        .putInt(4, from.getInt(4)).putInt(16, from.getInt(16)).putInt(20, from.getInt(20)).array());
+                            }
+                            return right.read(now);
+                        }
+
+                        @Override
+                        public void write(byte[] content, double now) throws IOException {
+                            if (closed) {
+                                throw new IOException("closed");
+                            }
+                            if (wrong != Wrong.ACKNOWLEDGES_EARLY) {
+                                right.write(content, now);
+                                return;
+                            }
+                            try {
+                                right.write(content, now);
+                            } catch (IOException e) {
+                                return; // told as written
+                            }
+                        }
+
+                        @Override
+                        public void close() {
+                            closed = true;
+                        }
+                    };
+                }
+
+                @Override
+                public byte[] bytes() {
+                    return platter.bytes();
+                }
+
+                @Override
+                public void bytes(byte[] now) {
+                    platter.bytes(now);
+                }
+
+                @Override
+                public boolean ail(MemoryStore.Fault fault) {
+                    platter.fault(fault);
+                    return true;
+                }
+
+                @Override
+                public boolean killedWrite(byte[] content, double now, int step) throws IOException {
+                    if (step > 0) {
+                        open().write(content, now);
+                        return under.killedWrite(content, now, step);
+                    }
+                    byte[] sealed = Sealed.seal(content, now);
+                    byte[] old = platter.bytes();
+                    if (wrong == Wrong.IN_PLACE) {
+                        platter.bytes(Arrays.copyOf(sealed, sealed.length / 2));
+                    } else if (wrong == Wrong.MIXES) {
+                        byte[] mixed = content.clone();
+                        System.arraycopy(old, Sealed.HEAD, mixed, 0, Math.min(content.length, old.length - Sealed.HEAD));
+                        platter.bytes(Sealed.seal(mixed, now));
+                    }
+                    return true;
+                }
+            };
+        }
+
+        void all() throws IOException {
+            nothingThenEachSizeThenMany();
+            oldOrNewAfterAKillAtEachStep();
+            tornOrDamagedIsAbsent();
+            foreignLaterFutureTooLong();
+            aDiskThatAilsLeavesWhatWasThere();
+            lostOrOldContentIsNoHarm();
+            closedTwice();
+        }
+    }
+
+    @DataProvider
+    public Object[][] wrongs() {
+        return Arrays.stream(Wrong.values()).filter(w -> w != Wrong.NONE).map(w -> new Object[] {w}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "wrongs")
+    public void isCaught(Wrong wrong) throws IOException {
+        new Broken(Wrong.NONE).all(); // right but for the one thing
+        assertThrows(Throwable.class, () -> new Broken(wrong).all());
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/store/MemoryLogsTest.java
@@ -0,0 +1,81 @@
+package tinford.fleet.store;
+
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The logs in memory keep the contract, under other delays each time. */
+public class MemoryLogsTest extends LogContract {
+    private final long seed;
+
+    public MemoryLogsTest() {
+        this(1);
+    }
+
+    MemoryLogsTest(long seed) {
+        this.seed = seed;
+    }
+
+    @Override
+    Cluster cluster() {
+        MemoryLogs logs = new MemoryLogs(3, 5, 50, 200, IN_FLIGHT, SNAPSHOT, new Random(seed));
+        return new Cluster() {
+            private double now;
+
+            @Override
+            public Log open(int number, Log.Reader reader) {
+                return logs.open(number, reader);
+            }
+
+            @Override
+            public void stop(int number) {
+                logs.stop(number);
+            }
+
+            @Override
+            public void loseDisk(int number) {
+                logs.loseDisk(number);
+            }
+
+            @Override
+            public void cutOff(int number) {
+                logs.cut(number, number % 3 + 1);
+                logs.cut(number, (number + 1) % 3 + 1);
+            }
+
+            @Override
+            public void heal() {
+                logs.heal();
+            }
+
+            @Override
+            public boolean until(BooleanSupplier what) {
+                for (int i = 0; i < 2000; i++) {
+                    if (what.getAsBoolean()) {
+                        return true;
+                    }
+                    logs.advance(++now);
+                }
+                return false;
+            }
+
+            @Override
+            public void close() {
+                for (int i = 1; i <= 3; i++) {
+                    logs.stop(i);
+                }
+            }
+        };
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Random(7).longs(50).mapToObj(each -> new Object[] {each}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void underDrawnDelays(long drawn) throws Exception {
+        new MemoryLogsTest(drawn).all();
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/store/MemoryStoreTest.java
@@ -0,0 +1,58 @@
+package tinford.fleet.store;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import org.testng.annotations.Test;
+
+/** The store in memory keeps the contract, and its faults show. */
+public class MemoryStoreTest extends StoreContract {
+    @Override
+    Place place() {
+        MemoryStore.Platter platter = new MemoryStore.Platter();
+        return new Place() {
+            @Override
+            public Store open() {
+                return new MemoryStore(platter, LARGEST, AHEAD);
+            }
+
+            @Override
+            public byte[] bytes() {
+                return platter.bytes();
+            }
+
+            @Override
+            public void bytes(byte[] now) {
+                platter.bytes(now);
+            }
+
+            @Override
+            public boolean ail(MemoryStore.Fault fault) {
+                platter.fault(fault);
+                return true;
+            }
+
+            @Override
+            public boolean killedWrite(byte[] content, double now, int step) throws IOException {
+                if (step > 0) {
+                    open().write(content, now);
+                }
+                return step == 0;
+            }
+        };
+    }
+
+    @Test
+    public void contentIsLostOrOldOnDemand() throws IOException {
+        MemoryStore.Platter platter = new MemoryStore.Platter();
+        Store store = new MemoryStore(platter, LARGEST, AHEAD);
+        store.write(content(1, 10), NOW);
+        platter.fault(MemoryStore.Fault.SLOW);
+        store.write(content(2, 10), NOW);
+        assertEquals(platter.slowMs(), 1000.0);
+        platter.back();
+        assertEquals(store.read(NOW).content(), content(1, 10));
+        platter.lose();
+        assertEquals(store.read(NOW).content(), null);
+    }
+}
