Overload is handled by the fleet as one: a line by worth, shared further dispatches, owners of ill servers

Each gateway alone sheds by its own line: worthy reqs are denied at one while another passes cheap ones, and tries at a lost server and further dispatches grow with the gateways. A leader that tells the line was ruled out (one loss cuts off all); each works out the same line from the same records. What the servers bear is told in the record and a middle value is kept to, so a gateway that joins adopts it at once. Two fields more in the record carry given budget: a division by need alone can't be kept to under views that differ, a running total by one writer can.

--- a/fleet/src/main/java/tinford/fleet/members/Sight.java
+++ b/fleet/src/main/java/tinford/fleet/members/Sight.java
@@ -32,8 +32,11 @@
     /** Dispatches out, and reqs that wait in its line. */
     public double open;
     public double waiting;
-    /** What this gateway believes servers bear of it at once. */
+    /** Units a second that this gateway believes the servers bear of the whole fleet; 0 where it sees no strain. */
     public double bears;
+    /** Which life it lately gave further dispatches of its own budget to (null: none), and how many in all. */
+    public Life cededTo;
+    public double ceded;
     public final List<Ill> ills = new ArrayList<>(MOST_ILL);
 
     public Sight(Life life, int seq) {
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/overload/Line.java
@@ -0,0 +1,104 @@
+package tinford.fleet.overload;
+
+import tinford.fleet.members.Known;
+import tinford.fleet.members.Sight;
+
+/**
+ * The worth a unit below which nothing is passed while the servers bear less than is asked for: every gateway works it out from the same
+ * records. What the servers bear is what they answer in time while strained; it is told to the others, and a middle value of what all
+ * believe is kept to, so that gateways that join, or that heard a little less, end at the same line. Without strain it grows, slowly at
+ * first and then ever faster, until there is no line: whoever still asks, a line is gone within two windows after its cause.
+ */
+public final class Line {
+    private static final double NONE = Double.POSITIVE_INFINITY;
+    private static final double WAIT_S = 0.05; // for a slot, on average: gateways' own limits are full; bursts stay below
+    private static final double BAD = 0.25; // of what ended, late or failed: above one server in five that is ill
+    private static final double SETTLE_MS = 400; // towards what is answered now: some rounds, or one bad one would set it
+    private static final double AGREE_MS = 2000; // towards the others: slower than the growth, or their age would hold it back
+    private static final double OPENED = 1.1; // borne over asked for: a line that would pass all but bursts is none
+
+    private final double window;
+    private double bears = NONE, strainedAt, at = -1, openedAt = Double.NEGATIVE_INFINITY;
+    private double threshold, part = 1, asked;
+
+    /** @param window in ms: without strain, the line is gone within two of them */
+    public Line(double window) {
+        this.window = window;
+    }
+
+    public double threshold() {
+        return threshold;
+    }
+
+    /** Of the class that begins at the threshold. */
+    public double part() {
+        return part;
+    }
+
+    /** For the own record. */
+    public double bears() {
+        return bears == NONE ? 0 : bears;
+    }
+
+    /** Units a second asked for over those borne; 1 at most where there is no line. */
+    public double overAsked() {
+        return bears == NONE ? 0 : asked / Math.max(1e-9, bears);
+    }
+
+    public void round(double now, Known known) {
+        double passed = at < 0 ? 0 : Math.max(0, Math.min(now - at, 1000));
+        at = now;
+        // guards a gateway that hears nobody: its own sight is no fleet's, so it acts as alone
+        if (known.living() <= 1 || known.fresh().size() < 2) {
+            bears = NONE;
+                draw(null);
+            return;
+        }
+        Totals all = new Totals(known);
+        agree(known, passed);
+        boolean strained = all.demand > 0 && (all.waiting > WAIT_S * all.first || all.bad > BAD);
+        if (strained) {
+            strainedAt = now;
+            double towards = Math.min(all.demand, all.goodUnits);
+            bears = bears == NONE ? Math.max(towards, all.demand / 2) : bears + (towards - bears) * Math.min(1, passed / SETTLE_MS);
+        } else if (bears != NONE) {
+            double calm = now - strainedAt, before = Math.max(0, calm - passed);
+            bears = Math.max(bears, all.demand / 64) * Math.pow(2, (calm * calm - before * before) / (window * window));
+            if (bears > OPENED * all.demand) {
+                bears = NONE;
+                openedAt = now;
+            }
+        }
+        draw(all);
+    }
+
+    private void agree(Known known, double passed) {
+        double[] told = known.fresh().stream().mapToDouble(s -> Totals.clean(s.bears)).map(b -> b > 0 ? b : NONE).sorted().toArray();
+        double middle = told[told.length / 2];
+        if (middle != NONE && bears == NONE) {
+            // a gateway that joins; but a line that just went does not come back by records of before
+            bears = at - openedAt > window ? middle : NONE;
+        } else if (middle != NONE) {
+            bears *= Math.pow(middle / bears, Math.min(1, passed / AGREE_MS));
+        } else if (bears != NONE) {
+            bears *= 1 + passed / AGREE_MS;
+        }
+    }
+
+    /** From the worthiest class down, as far as it is borne. */
+    private void draw(Totals all) {
+        threshold = 0;
+        part = 1;
+        asked = all == null ? 0 : all.demand;
+        double left = bears;
+        if (left == NONE) return;
+        for (int c = Sight.CLASSES - 1; c >= 0; c--) {
+            if (all.asked[c] > left) {
+                threshold = Sight.worthOf(c);
+                part = Math.max(0, left / all.asked[c]);
+                return;
+            }
+            left -= all.asked[c];
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/overload/Own.java
@@ -0,0 +1,112 @@
+package tinford.fleet.overload;
+
+import java.util.Arrays;
+import tinford.api.End;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Sight;
+
+/** What this gateway saw itself over the last second, in five buckets used again in a ring: of one size whatever comes. */
+public final class Own {
+    private static final int BUCKETS = 5;
+    private static final double BUCKET_MS = 200;
+    private static final int FIRST = 0, FURTHER = 1, GOOD = 2, LATE = 3, FAILED = 4, GOOD_UNITS = 5, COUNTS = 6;
+
+    private final double[][] asked = new double[BUCKETS][Sight.CLASSES], denied = new double[BUCKETS][Sight.CLASSES];
+    private final double[][] counts = new double[BUCKETS][COUNTS];
+    private final long startedTurn;
+    private final double startedAt;
+    private long turn;
+    private double now;
+    private int open, waiting;
+
+    public Own(double now) {
+        this.now = this.startedAt = now;
+        this.turn = this.startedTurn = (long) Math.floor(now / BUCKET_MS);
+    }
+
+    public void round(double at) {
+        now = Math.max(now, at);
+        long next = (long) Math.floor(now / BUCKET_MS);
+        if (next - turn > BUCKETS) turn = next - BUCKETS;
+        while (turn < next) {
+            int i = Math.floorMod(++turn, BUCKETS);
+            Arrays.fill(asked[i], 0);
+            Arrays.fill(denied[i], 0);
+            Arrays.fill(counts[i], 0);
+        }
+    }
+
+    public void asked(double units, double worth) {
+        asked[here()][Sight.classOf(worth)] += units;
+        waiting++;
+    }
+
+    /** Of those that were told as asked, and were never sent. */
+    public void denied(double units, double worth) {
+        denied[here()][Sight.classOf(worth)] += units;
+        waiting = Math.max(0, waiting - 1);
+    }
+
+    public void sent(boolean further) {
+        count(further ? FURTHER : FIRST, 1);
+        open++;
+        if (!further) waiting = Math.max(0, waiting - 1);
+    }
+
+    public void ended(double units, End how, boolean late) {
+        open = Math.max(0, open - 1);
+        switch (how) {
+            case GOOD -> {
+                count(late ? LATE : GOOD, 1);
+                if (!late) count(GOOD_UNITS, units);
+            }
+            case TIMED_OUT -> count(LATE, 1);
+            case ERROR, BROKEN, FULL, UNREACHABLE -> count(FAILED, 1);
+            default -> { }
+        }
+    }
+
+    /** The record of now. What of a class was neither denied nor asked for lately counts as sent. */
+    public Sight sight(Life life, int seq) {
+        Sight s = new Sight(life, seq);
+        double second = span() / 1000;
+        for (int c = 0; c < Sight.CLASSES; c++) {
+            double all = 0, not = 0;
+            for (int i = 0; i < BUCKETS; i++) {
+                all += asked[i][c];
+                not += denied[i][c];
+            }
+            s.asked[c] = all / second;
+            s.sent[c] = Math.max(0, all - not) / second;
+        }
+        s.first = sum(FIRST) / second;
+        s.further = sum(FURTHER) / second;
+        s.good = sum(GOOD) / second;
+        s.late = sum(LATE) / second;
+        s.failed = sum(FAILED) / second;
+        s.goodUnits = sum(GOOD_UNITS) / second;
+        s.open = open;
+        s.waiting = waiting;
+        return s;
+    }
+
+    /** Time that the buckets cover: a part of the one that runs, and never less than one, or a first req would look like a flood. */
+    private double span() {
+        double covered = Math.min(now - startedAt, (BUCKETS - 1) * BUCKET_MS + now - turn * BUCKET_MS);
+        return Math.max(BUCKET_MS, turn == startedTurn ? BUCKET_MS : covered);
+    }
+
+    private int here() {
+        return Math.floorMod(turn, BUCKETS);
+    }
+
+    private void count(int what, double amount) {
+        counts[here()][what] += amount;
+    }
+
+    private double sum(int what) {
+        double sum = 0;
+        for (double[] c : counts) sum += c[what];
+        return sum;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/overload/Owners.java
@@ -0,0 +1,172 @@
+package tinford.fleet.overload;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import tinford.api.Srv;
+import tinford.fleet.members.Known;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Sight;
+
+/**
+ * Who finds out how a server does that was put aside: the one that rendezvous hashing draws among those that live, so that the tries at it do
+ * not grow with the gateways. The others leave it alone until it is told well, or until its owner has said nothing for {@link #PATIENCE_MS};
+ * then they look by chance, all together ever more rarely but never less than every {@link #RAREST_MS}. What one alone says of a server
+ * that works here counts for nothing; two must say so. A server told well that is not costs a try a gateway, each time after twice the wait.
+ * Memory: one note for each of {@link #MOST} servers at most, dropped {@link #FORGET_MS} after they were last told of.
+ */
+public final class Owners {
+    private static final int MOST = 2048;
+    private static final double PATIENCE_MS = 6000; // the decisions' longest bar of 4 s, and the time that records take
+    private static final double SOON_MS = 4000; // all that are not the owner together, at first; then doubling
+    private static final double RAREST_MS = 30_000;
+    private static final double RETURN_MS = 300; // those who return to a server told well spread over so long
+    private static final double TRUSTED_MS = 2000; // own good news that outweigh what others say
+    private static final double FORGET_MS = 120_000;
+
+    /** What is known of one server, by this gateway and by the others. */
+    private static final class Note {
+        final int server;
+        boolean ill, toldIll;
+        int owner;
+        long ownerIn = -1;
+        double foundAt = Double.NEGATIVE_INFINITY, heardAt = foundAt, wellAt = foundAt, ownerAt = foundAt, touchedAt;
+        double backAt, lookAt = -1, gap = SOON_MS, distrust = 250;
+
+        Note(int server) {
+            this.server = server;
+        }
+    }
+
+    private final Random chance;
+    private final Map<Integer, Note> notes = new LinkedHashMap<>();
+    private Known known;
+    private Life own;
+    private double now;
+    private int turn;
+    private long rounds;
+
+    public Owners(Random chance) {
+        this.chance = chance;
+    }
+
+    /** Its name in the records. */
+    public static int nameOf(Srv srv) {
+        return mix(srv.id.hashCode());
+    }
+
+    /** Among those that live: the same for all that know the same, and moving only what its owner lost. */
+    static int owner(int server, Known known) {
+        int best = -1, most = 0;
+        for (int g : known.all()) {
+            int drawn = mix(server * 31 + mix(g)) >>> 1;
+            if (known.lives(g) && (best < 0 || drawn > most)) {
+                best = g;
+                most = drawn;
+            }
+        }
+        return best;
+    }
+
+    public void round(double at, Life self, Known heard) {
+        now = at;
+        own = self;
+        known = heard;
+        rounds++;
+        Map<Integer, List<Integer>> sayIll = new LinkedHashMap<>();
+        for (Sight s : heard.fresh()) {
+            if (s.life.gateway() == self.gateway()) continue;
+            for (Sight.Ill told : s.ills) {
+                Note n = note(told.server());
+                if (n == null) continue;
+                n.touchedAt = now;
+                double age = told.ago() >= 0 && told.ago() < FORGET_MS ? told.ago() : FORGET_MS, when = now - age;
+                boolean owns = ownerOf(n) == s.life.gateway();
+                if (owns && when > n.ownerAt) n.ownerAt = when;
+                if (told.ill()) {
+                    if (age < PATIENCE_MS) sayIll.computeIfAbsent(n.server, k -> new ArrayList<>()).add(s.life.gateway());
+                    if (owns) n.heardAt = Math.max(n.heardAt, when);
+                } else if ((n.ill || n.toldIll) && when > Math.max(n.foundAt + n.distrust, n.heardAt) && when > n.wellAt + 100) {
+                    n.wellAt = when;
+                    n.backAt = now + RETURN_MS * chance.nextDouble();
+                }
+            }
+        }
+        for (Note n : notes.values()) {
+            // two say so, and later one is enough: when all leave it alone, its owner alone has news of it
+            n.toldIll = sayIll.getOrDefault(n.server, List.of()).size() >= (n.toldIll ? 1 : 2) && n.wellAt <= n.heardAt;
+        }
+        notes.values().removeIf(n -> now - n.touchedAt > FORGET_MS);
+    }
+
+    /** A finding of this gateway itself; that a server is well matters only where somebody said otherwise. */
+    public void found(Srv srv, boolean ill) {
+        Note n = ill ? note(nameOf(srv)) : notes.get(nameOf(srv));
+        if (n == null) return;
+        if (ill && n.wellAt > n.foundAt && now - n.wellAt < PATIENCE_MS) n.distrust = Math.min(2 * n.distrust, RAREST_MS);
+        if (ill && !n.ill) n.gap = SOON_MS;
+        if (ill && !n.ill || n.lookAt < 0) draw(n);
+        if (!ill) n.distrust = 250;
+        n.ill = ill;
+        n.foundAt = n.touchedAt = now;
+    }
+
+    /** It was tried: the next look is drawn anew. */
+    public void tried(Srv srv) {
+        Note n = notes.get(nameOf(srv));
+        if (n == null || now < n.lookAt) return;
+        n.gap = Math.min(RAREST_MS, 2 * n.gap);
+        draw(n);
+    }
+
+    /** Whether this gateway may send to it: well as far as known, told well again, its own to look after, or due for a rare look. */
+    public boolean looksAfter(Srv srv) {
+        Note n = notes.get(nameOf(srv));
+        if (n == null || known == null || known.living() <= 1) return true;
+        boolean leave = n.ill ? !(n.wellAt > n.foundAt && now >= n.backAt) : (n.toldIll || now < n.backAt) && now - n.foundAt > TRUSTED_MS;
+        if (!leave || ownerOf(n) == own.gateway()) return true;
+        if (n.lookAt < 0) draw(n);
+        boolean heard = now - Math.max(n.ownerAt, n.foundAt) < PATIENCE_MS;
+        return now >= (heard ? n.lookAt + known.living() * (RAREST_MS - n.gap) : n.lookAt);
+    }
+
+    /** Into the own record, the latest findings in turn where they do not all fit. */
+    public void tell(Sight s) {
+        List<Note> found = new ArrayList<>();
+        for (Note n : notes.values()) { if (now - n.foundAt < (n.ill ? FORGET_MS : PATIENCE_MS)) found.add(n); }
+        for (int i = 0; i < Math.min(Sight.MOST_ILL, found.size()); i++) {
+            Note n = found.get(Math.floorMod(turn + i, found.size()));
+            s.ills.add(new Sight.Ill(n.server, n.ill, now - n.foundAt));
+        }
+        turn = found.size() > Sight.MOST_ILL ? turn + Sight.MOST_ILL : 0;
+    }
+
+    /** Drawn once a round: it costs a hash a gateway. */
+    private int ownerOf(Note n) {
+        if (n.ownerIn != rounds) n.owner = owner(n.server, known);
+        n.ownerIn = rounds;
+        return n.owner;
+    }
+
+    // the more gateways live, the more rarely each looks: all together once a gap
+    private void draw(Note n) {
+        n.lookAt = now + (known == null ? 1 : known.living()) * n.gap * (0.5 + chance.nextDouble());
+    }
+
+    private Note note(int server) {
+        Note is = notes.get(server);
+        if (is != null || notes.size() >= MOST) return is;
+        Note made = new Note(server);
+        made.touchedAt = now;
+        notes.put(server, made);
+        return made;
+    }
+
+    private static int mix(int x) {
+        x = (x ^ x >>> 16) * 0x7feb352d;
+        x = (x ^ x >>> 15) * 0x846ca68b;
+        return x ^ x >>> 16;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/overload/Totals.java
@@ -0,0 +1,64 @@
+package tinford.fleet.overload;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import tinford.fleet.members.Known;
+import tinford.fleet.members.Sight;
+
+/**
+ * What the fleet sees together: the mean of the records times those that live. A figure that is no number counts as nought, and one
+ * record weighs at most {@link #MOST} times the mean of the others, so that a lying one among n adds at most MOST/n to each total.
+ */
+final class Totals {
+    // honest gateways of one balancer seldom differ by more; with 14 of them a lie then adds a third at most, for as long as it is told
+    static final double MOST = 4;
+
+    final double[] asked = new double[Sight.CLASSES];
+    final double demand, first, waiting, goodUnits, bad;
+
+    Totals(Known known) {
+        List<Sight> records = known.fresh();
+        double scale = (double) known.living() / Math.max(1, records.size());
+        double[] sizes = records.stream().mapToDouble(s -> sum(s.asked)).toArray();
+        double most = most(sizes), all = 0;
+        for (int i = 0; i < sizes.length; i++) {
+            double part = sizes[i] > most ? most / sizes[i] : 1;
+            for (int c = 0; c < Sight.CLASSES; c++) {
+                double a = clean(records.get(i).asked[c]) * part * scale;
+                asked[c] += a;
+                all += a;
+            }
+        }
+        demand = all;
+        first = scale * capped(records, s -> s.first);
+        waiting = scale * capped(records, s -> s.waiting);
+        goodUnits = scale * capped(records, s -> s.goodUnits);
+        double good = capped(records, s -> s.good), not = capped(records, s -> s.late) + capped(records, s -> s.failed);
+        bad = not / Math.max(1e-9, good + not);
+    }
+
+    static double clean(double figure) {
+        return figure > 0 && figure < 1e12 ? figure : 0;
+    }
+
+    static double sum(double[] figures) {
+        double sum = 0;
+        for (double f : figures) sum += clean(f);
+        return sum;
+    }
+
+    /** The most that one figure counts: so many times the mean without the largest twentieth. */
+    static double most(double[] figures) {
+        double[] sorted = figures.clone();
+        Arrays.sort(sorted);
+        int kept = sorted.length - Math.max(1, sorted.length / 20);
+        return kept < 1 ? Double.MAX_VALUE : MOST * Arrays.stream(sorted, 0, kept).sum() / kept;
+    }
+
+    private static double capped(List<Sight> records, ToDoubleFunction<Sight> figure) {
+        double[] figures = records.stream().mapToDouble(s -> clean(figure.applyAsDouble(s))).toArray();
+        double most = most(figures);
+        return Arrays.stream(figures).map(f -> Math.min(f, most)).sum();
+    }
+}
