Terms of members as a state machine of the log

Grants and moves both need to know who may still act. A later life of a gateway ends no term of an earlier one, which may be stopped and wake up; it only renews no more, and what it opened counts until its term is over by the spread of clocks and the linger after it. Freeing the earlier life at the later one's first entry was ruled out for that.

--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/members/TermsTest.java
@@ -0,0 +1,92 @@
+package tinford.fleet.members;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class TermsTest {
+    private static final Life FIRST = new Life(3, 100);
+    private static final Life LATER = new Life(3, 900);
+    private static final Life OTHER = new Life(5, 100);
+
+    private static Terms terms() {
+        return new Terms(8, 1000, 50, 400);
+    }
+
+    @Test
+    public void aTermIsOverOnlyTheSpreadLaterAndClosedTheLingerAfter() {
+        Terms t = terms();
+        t.apply(1, Terms.renew(FIRST, 1000, 1000));
+        assertTrue(t.of(FIRST).holds(1999) && !t.of(FIRST).holds(2000));
+        t.seen(2049);
+        assertTrue(t.mayAct(FIRST));
+        t.seen(2050);
+        assertFalse(t.mayAct(FIRST));
+        t.seen(2449);
+        assertFalse(t.closed(FIRST), "its connections may be open");
+        t.seen(2450);
+        assertTrue(t.closed(FIRST));
+    }
+
+    @Test
+    public void aLaterLifeEndsNoTermOfAnEarlierOneWhichRenewsNoMore() {
+        Terms t = terms();
+        t.apply(1, Terms.renew(FIRST, 1000, 1000));
+        t.apply(2, Terms.renew(LATER, 1100, 1000));
+        assertEquals(t.mayAct(), List.of(FIRST, LATER));
+        t.apply(3, Terms.renew(FIRST, 1200, 1000));
+        assertEquals(t.of(FIRST).until(), 2000.0);
+        assertFalse(t.renews(FIRST));
+        assertTrue(t.renews(LATER));
+        t.apply(4, Terms.leave(LATER, 1300));
+        assertEquals(t.mayAct(), List.of(FIRST));
+        t.apply(5, Terms.renew(LATER, 1200, 1000));
+        assertTrue(t.closed(LATER), "a late entry takes back one that left");
+    }
+
+    @DataProvider
+    public Object[][] bad() {
+        byte[] cut = Terms.renew(FIRST, 1, 1);
+        byte[] newer = cut.clone();
+        newer[1] = 9;
+        return new Object[][] {{Terms.renew(FIRST, Double.NaN, 10)}, {Terms.renew(FIRST, 10, 1001)}, {Terms.renew(FIRST, 10, -1)},
+            {Terms.renew(new Life(8, 1), 10, 10)}, {java.util.Arrays.copyOf(cut, 9)}, {newer}, {Terms.leave(OTHER, 1)}};
+    }
+
+    @Test(dataProvider = "bad")
+    public void whatCantBeTakenChangesNothingAndIsCounted(byte[] entry) {
+        Terms t = terms();
+        assertTrue(t.apply(1, entry));
+        assertEquals(t.refused(), 1);
+        assertEquals(t.mayAct(), List.of());
+        assertFalse(t.apply(2, new byte[] {77}), "an entry of others is not its own");
+    }
+
+    @Test
+    public void manyLivesOfOneGatewayAreBoundedAndASnapshotIsTheSame() throws IOException {
+        Terms t = terms();
+        for (int i = 0; i < 20; i++) {
+            t.apply(i + 1, Terms.renew(new Life(3, i), 1000 + i, 1000));
+        }
+        assertEquals(t.of(3).size(), Terms.MOST_LIVES);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        t.write(new DataOutputStream(bytes));
+        Terms again = terms();
+        again.read(new DataInputStream(new ByteArrayInputStream(bytes.toByteArray())));
+        assertEquals(again.mayAct(), t.mayAct());
+        assertEquals(again.now(), t.now());
+        again.apply(30, Terms.renew(new Life(3, 6), 1100, 1000));
+        assertNotNull(again.of(new Life(3, 6)));
+        assertEquals(again.of(new Life(3, 6)).until(), 2006.0, "an earlier life renews no more after a snapshot");
+    }
+}
