--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/budgets/Pack.java
@@ -0,0 +1,51 @@
+package tinford.fleet.budgets;
+
+import java.io.DataInput;
+import java.io.DataOutput;
+import java.io.IOException;
+import tinford.fleet.members.Life;
+
+/** Whole numbers in as few bytes as they need. */
+final class Pack {
+    private Pack() { }
+
+    static void put(DataOutput out, long value) throws IOException {
+        long v = value;
+        while ((v & ~0x7fL) != 0) {
+            out.writeByte((int) (v & 0x7f | 0x80));
+            v >>>= 7;
+        }
+        out.writeByte((int) v);
+    }
+
+    static long take(DataInput in) throws IOException {
+        long v = 0;
+        for (int shift = 0; shift < 64; shift += 7) {
+            byte b = in.readByte();
+            v |= (long) (b & 0x7f) << shift;
+            if (b >= 0) {
+                return v;
+            }
+        }
+        throw new IOException("a whole number: longer than 10 bytes");
+    }
+
+    /** A number from 0 to {@code most}. */
+    static int count(DataInput in, int most) throws IOException {
+        long v = take(in);
+        if (v < 0 || v > most) {
+            throw new IOException("a count: " + v + ", expected 0 to " + most);
+        }
+        return (int) v;
+    }
+
+    static void put(DataOutput out, Life life) throws IOException {
+        put(out, life.gateway());
+        put(out, life.start());
+    }
+
+    static Life life(DataInput in) throws IOException {
+        return new Life(count(in, Integer.MAX_VALUE), take(in));
+    }
+
+}
