Budgets: the exact division in use within the stated time, floors, flapping and a dead holder as tests

An account that the ledger knows used one more dispatch than it was granted at gateways where it has none; now only one that the ledger does not know yet may have a first one. A gateway at which an account asks has one of its connections where there is one for each.

--- a/fleet/src/main/java/tinford/fleet/budgets/Division.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Division.java
@@ -129,9 +129,10 @@
         int sum = 0;
         for (int k = 0; k < n; k++) {
             double even = wants == 0 ? 0 : part * (double) a.wanted[k] / wants;
-            int low = (int) Math.max(0, Math.ceil(even * (1 - KEPT) - 1));
+            // Where there is one for each gateway that asks, none is left without.
+            int low = (int) Math.max(part >= n ? 1 : 0, Math.ceil(even * (1 - KEPT) - 1));
             int high = (int) Math.min(a.wanted[k], Math.floor(even * (1 + KEPT) + 1));
-            given[k] = Math.max(Math.min(low, a.wanted[k]), Math.min(high, a.before[k]));
+            given[k] = Math.max(Math.min(low, a.wanted[k]), Math.min(Math.min(Math.max(high, 1), a.wanted[k]), a.before[k]));
             sum += given[k];
         }
         while (sum != part) {
@@ -139,7 +140,7 @@
             int sign = sum < part ? 1 : -1;
             List<Integer> order = new ArrayList<>();
             for (int k = 0; k < n; k++) {
-                if (sign > 0 ? given[k] < a.wanted[k] : given[k] > 0) {
+                if (sign > 0 ? given[k] < a.wanted[k] : given[k] > (part >= n ? 1 : 0)) {
                     order.add(k);
                 }
             }
--- a/fleet/src/main/java/tinford/fleet/budgets/Share.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Share.java
@@ -91,10 +91,12 @@
         return Math.max(0, open.getOrDefault(server, 0) - mayHold(server, now));
     }
 
-    /** Dispatches that an account may have out through this gateway. One that is new has one before its first grant. */
+    /** Dispatches that an account may have out through this gateway. One that the ledger does not know yet may
+     * have one. */
     public int mayUse(long account, double now) {
         if (holds(now)) {
-            return Math.max(1, ledger.uses(life, account));
+            Ledger.Holder h = ledger.holders.get(life);
+            return h == null || !h.asked.containsKey(account) ? Math.max(1, ledger.uses(life, account)) : ledger.uses(life, account);
         }
         Want want = wants.get(account);
         return want == null ? 1 : Math.max(1, want.alone);
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/budgets/FairTest.java
@@ -0,0 +1,206 @@
+package tinford.fleet.budgets;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.LongFunction;
+import org.testng.annotations.Test;
+
+public class FairTest {
+    private static final LongFunction<Proposer.Plan> PLANS = a -> new Proposer.Plan(1 + (int) (a % 4), a % 3 == 0 ? 2 : 0, 40);
+    /** Log: offered, taken, read. */
+    private static final double LOG = 50 + Fleet.STEP;
+    /** An ask; the proposal; the let-go, once answered; the second proposal; each with its way through the log. */
+    static final double UP = 4 * (Fleet.EVERY + LOG) + Fleet.SERVICE;
+    /** What is no longer wanted is told that long after. */
+    static final double DOWN = UP + 2 * (Fleet.KEEP + Fleet.EVERY);
+
+    private static Fleet fleet(int seed, int size, int servers, int offer, double part) {
+        Map<String, Integer> offers = new LinkedHashMap<>();
+        for (int s = 0; s < servers; s++) {
+            offers.put("s" + s, offer);
+        }
+        Fleet f = new Fleet(seed, size, offers, part, PLANS, null, null);
+        f.run(2000);
+        return f;
+    }
+
+    private static int[] exact(Fleet f, int accounts) {
+        int[][] in = new int[3][accounts];
+        for (int a = 0; a < accounts; a++) {
+            long id = a;
+            in[0][a] = PLANS.apply(a).weight();
+            in[1][a] = PLANS.apply(a).floor();
+            in[2][a] = Math.min(40, f.gateways.stream().mapToInt(g -> g.wants.getOrDefault(id, 0)).sum());
+        }
+        return MaxMin.divide(f.offers.values().stream().mapToInt(n -> n).sum(), in[0], in[1], in[2]);
+    }
+
+    private static int off(Fleet f, int[] exact) {
+        int off = 0;
+        for (int a = 0; a < exact.length; a++) {
+            off = Math.max(off, exact[a] - Math.min(f.granted(a), f.out(a)));
+        }
+        return off;
+    }
+
+    @Test
+    public void theExactDivisionIsReachedWithinTheStatedTimeAfterEachChange() {
+        Random random = new Random(5);
+        double slowest = 0;
+        double use = Double.MAX_VALUE;
+        long appended = 0;
+        double seconds = 0;
+        for (int seed = 0; seed < 12; seed++) {
+            int size = 2 + random.nextInt(4);
+            Fleet f = fleet(seed, size, 1 + random.nextInt(4), 1 + random.nextInt(25), 0);
+            for (int change = 0; change < 5; change++) {
+                for (Fleet.Gateway g : f.gateways) {
+                    g.wants.clear();
+                    for (long a = 0; a < 8; a++) {
+                        if (random.nextInt(2) == 0) {
+                            g.wants.put(a, 1 + random.nextInt(30));
+                        }
+                    }
+                }
+                if (change == 3) {
+                    f.offer("s0", 1 + random.nextInt(25), 2);
+                }
+                int[] exact = exact(f, 8);
+                double start = f.now;
+                double reached = start;
+                long before = f.appended;
+                double used = 0;
+                int steps = 0;
+                while (f.now < start + DOWN + 2000) {
+                    f.step();
+                    f.now += Fleet.STEP;
+                    int off = off(f, exact);
+                    if (off > 0) {
+                        reached = f.now;
+                    }
+                    if (f.now > start + DOWN) {
+                        steps++;
+                        for (long a = 0; a < 8; a++) {
+                            used += f.out(a);
+                        }
+                    }
+                }
+                assertTrue(reached - start <= DOWN, "history " + seed + ", change " + change + ": " + (reached - start) + " ms");
+                int sum = java.util.Arrays.stream(exact).sum();
+                use = Math.min(use, sum == 0 ? 1 : used / steps / sum);
+                slowest = Math.max(slowest, reached - start);
+                appended += f.appended - before;
+                seconds += (f.now - start) / 1000 * size;
+            }
+            assertTrue(f.worst <= 0);
+        }
+        System.out.printf("exact after %.0f ms at most (stated %.0f), least use %.3f of what is due, %.2f entries a second a gateway%n",
+            slowest, DOWN, use, appended / seconds);
+        assertTrue(use > 0.95, "use " + use);
+    }
+
+    @Test
+    public void oneThatAsksHasItsFloorWithinTheStatedTimeThoughOthersHoldAll() {
+        Fleet f = fleet(1, 3, 2, 12, 0);
+        for (Fleet.Gateway g : f.gateways) {
+            g.wants.put(3L, 99);
+            g.wants.put(7L, 99);
+        }
+        f.run(6000);
+        f.gateways.get(0).wants.put(0L, 9);
+        double start = f.now;
+        while (f.out(0) < 2) {
+            f.run(Fleet.STEP);
+            assertTrue(f.now - start <= UP, "no floor after " + UP + " ms");
+        }
+        System.out.printf("floor after %.0f ms (stated %.0f)%n", f.now - start, UP);
+    }
+
+    @Test
+    public void demandThatComesAndGoesDoesNotMoveGrants() {
+        Fleet f = fleet(2, 3, 3, 10, 0.2);
+        for (int k = 0; k < 20; k++) {
+            f.gateways.get(0).wants.put(1L, 9);
+            f.gateways.get(1).wants.put(2L, k % 2 == 0 ? 20 : 1);
+            f.gateways.get(2).wants.put(3L, k % 2 == 0 ? 2 : 18);
+            long before = f.gateways.get(0).ledger.grants();
+            f.run(700);
+            assertTrue(k < 5 || f.gateways.get(0).ledger.grants() == before, "grants flap in turn " + k);
+        }
+    }
+
+    @Test
+    public void aGatewayThatDiesHoldingMostGivesBackAfterTermSpreadAndLinger() {
+        Fleet f = fleet(3, 3, 2, 10, 0);
+        f.gateways.get(0).wants.put(3L, 40);
+        f.run(4000);
+        assertEquals(f.granted(3), 20);
+        Fleet.Gateway dead = f.gateways.get(0);
+        dead.deadUntil = Double.MAX_VALUE;
+        f.leader = 1;
+        f.gateways.get(1).wants.put(7L, 40);
+        double start = f.now;
+        double stated = Fleet.TERM + 2 * Fleet.APART + Fleet.LINGER + UP;
+        while (f.out(7) < 18) {
+            f.run(Fleet.STEP);
+            assertTrue(f.now - start <= stated, "not back after " + stated);
+        }
+        System.out.printf("back from a dead gateway after %.0f ms (stated %.0f)%n", f.now - start, stated);
+        assertTrue(f.worst <= 0);
+    }
+
+    @Test
+    public void withoutAMajorityEachFallsToItsStaticShareAndNoneStarves() {
+        Fleet f = fleet(4, 4, 2, 13, 0.5);
+        for (Fleet.Gateway g : f.gateways) {
+            g.wants.put(1L, 20);
+            g.wants.put(2L, 20);
+        }
+        f.run(4000);
+        f.noMajorityUntil = Double.MAX_VALUE;
+        f.run(Fleet.TERM + Fleet.LINGER);
+        Map<String, Integer> sums = new TreeMap<>();
+        for (Fleet.Gateway g : f.gateways) {
+            f.offers.keySet().forEach(s -> sums.merge(s, g.share.mayHold(s, f.now + g.offset), Integer::sum));
+            assertTrue(g.share.mayUse(1, f.now + g.offset) >= 1 && g.share.mayUse(2, f.now + g.offset) >= 1);
+        }
+        assertEquals(sums, Map.of("s0", 6, "s1", 6));
+        int out = 0;
+        for (int k = 0; k < 100; k++) {
+            f.run(Fleet.STEP);
+            out += f.out(1) + f.out(2);
+        }
+        assertTrue(out > 1100, "the static share is not used: " + out / 100.0 + " of 12");
+    }
+
+    @Test
+    public void manyAccountsOfWhichFewAreAwakeAndFewerConnectionsThanGateways() {
+        Fleet f = fleet(6, 5, 1, 3, 1);
+        f.gateways.get(0).wants.put(9_999L, 5);
+        for (int g = 0; g < 5; g++) {
+            f.gateways.get(g).wants.put(1L + g * 2_000L, 5);
+        }
+        f.run(5000);
+        assertTrue(f.worst <= 0);
+        assertEquals(f.gateways.stream().mapToInt(g -> g.share.mayHold("s0", f.now)).sum(), 3);
+    }
+
+    @Test
+    public void anAccountSpreadOverAllHasNoMoreThanOneOnOneGateway() {
+        Fleet f = fleet(7, 4, 2, 10, 0);
+        f.gateways.get(0).wants.put(3L, 40);
+        f.gateways.forEach(g -> g.wants.put(7L, 40));
+        f.run(6000);
+        assertEquals(f.granted(3), 10);
+        assertEquals(f.granted(7), 10);
+        f.offer("s0", 4, 9);
+        f.run(DOWN);
+        assertEquals(f.granted(3) + f.granted(7), 14);
+        assertTrue(f.count("s0") <= 4, "an offer that shrank is given back");
+    }
+}
