--- a/fleet/src/test/java/tinford/fleet/budgets/HistoriesTest.java
+++ b/fleet/src/test/java/tinford/fleet/budgets/HistoriesTest.java
@@ -17,6 +17,10 @@
 
     /** A drawn history; returns by how many connections an offer was exceeded at most (below 0: how near). */
     private static int play(int seed, String broken) {
+        return history(seed, broken).worst;
+    }
+
+    private static Fleet history(int seed, String broken) {
         Random random = new Random(seed * 31L);
         int size = 2 + random.nextInt(4);
         Map<String, Integer> offers = new LinkedHashMap<>();
@@ -45,7 +49,7 @@
             }
             f.run(2500);
         }
-        return f.worst;
+        return f;
     }
 
     private static Ledger ledger(int size, Statics statics, String broken) {
@@ -85,6 +89,42 @@
         System.out.println("never over: nearest " + -worst + " connections, " + atFull + " of 40 histories reach the whole offer");
     }
 
+    @Test
+    public void aSnapshotAtAnyPointCarriesAllAndWhatCantBeReadChangesNothing() {
+        Fleet f = history(3, "");
+        Ledger whole = new Ledger(Fleet.terms(f.gateways.size()), f.statics);
+        Ledger cut = new Ledger(Fleet.terms(f.gateways.size()), f.statics);
+        Random random = new Random(9);
+        for (int i = 0; i < f.log.size(); i++) {
+            whole.apply(i + 1, f.log.get(i));
+            cut.apply(i + 1, f.log.get(i));
+            assertEquals(cut.snapshot(), whole.snapshot(), "entry " + i);
+            if (random.nextInt(5) == 0) {
+                Ledger next = new Ledger(Fleet.terms(f.gateways.size()), f.statics);
+                next.restore(i + 1, cut.snapshot());
+                cut = next;
+            }
+        }
+        Ledger bad = new Ledger(Fleet.terms(f.gateways.size()), f.statics);
+        bad.restore(f.log.size(), whole.snapshot());
+        byte[] cells = cells(bad);
+        long index = f.log.size();
+        for (byte[] entry : f.log) {
+            byte[] spoilt = java.util.Arrays.copyOf(entry, 2 + random.nextInt(3));
+            bad.apply(++index, spoilt);
+            spoilt[random.nextInt(2)] = 99;
+            bad.apply(++index, spoilt);
+        }
+        assertEquals(cells(bad), cells, "spoilt entries");
+        assertTrue(bad.unread() > 0 && bad.unknown() > 0 && bad.terms().refused() > 0);
+    }
+
+    private static byte[] cells(Ledger ledger) {
+        StringBuilder all = new StringBuilder();
+        ledger.holders.forEach((l, h) -> h.cells.forEach((s, c) -> all.append(l).append(s).append(' ').append(c.granted).append(c.may)));
+        return all.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
     @DataProvider
     public Object[][] broken() {
         return new Object[][] {{"no check"}, {"no linger"}, {"own clock ignored"}, {"a later life frees the earlier's"}};
