Moves: plans, stages, the state machine and a gateway's route

Frontends go from group to group over all gateways at once, which none can decide alone. Entries of the log carry the position; Moves.apply is the one place that takes or refuses them.

--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/moves/Due.java
@@ -0,0 +1,82 @@
+package tinford.fleet.moves;
+
+import java.util.Collection;
+import java.util.Map;
+import tinford.fleet.members.Life;
+
+/** The rules about when a change of position is due. {@link Moves} asks them in one place; tests replace one at a time by a broken one. */
+class Due {
+    /** One step at a time, in the direction that the moves have. */
+    boolean next(int from, int to, boolean back) {
+        return to == (back ? from - 1 : from + 1);
+    }
+
+    /** An ack counts for the present position only. */
+    boolean counts(long turn, long of) {
+        return turn == of;
+    }
+
+    /** Back to where the last change came from: whoever has not followed that change is there already, so nobody is waited for. */
+    boolean returns(int before, int position, int to) {
+        return before == to && before != position;
+    }
+
+    /** Whether all who may have acted since that time had said by then that they act on the present position. */
+    boolean acked(Members members, Map<Life, Double> acks, double since) {
+        Collection<Life> lives = members.mayHaveActed(since);
+        for (Life life : lives) {
+            Double at = acks.get(life);
+            if (at == null || at > since) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * How long after all have acknowledged the present position the next one may begin. Where retries are told, none goes anywhere in
+     * either step of a change, so the wait is due at the end; where they aren't, nothing goes in HOLD, so the wait is due there.
+     */
+    double waits(Plan plan, int at, boolean back) {
+        double most = 0;
+        Step step = plan.steps.get(at);
+        for (int i = 0; i < plan.frontends.size(); i++) {
+            Step.Phase phase = step.parts().get(i).phase();
+            boolean told = plan.frontends.get(i).told();
+            if (phase == Step.Phase.HOLD && (back || !told) || phase == Step.Phase.OPEN && told && !back) {
+                most = Math.max(most, plan.frontends.get(i).held());
+            }
+        }
+        return most;
+    }
+
+    /** Whether the groups that are gone to can take their share with what of them is warm now. */
+    boolean fits(Plan plan, Step step, double[] warm) {
+        int g = 0;
+        for (Map.Entry<String, Plan.Room> group : plan.groups.entrySet()) {
+            double load = 0;
+            for (int i = 0; i < plan.frontends.size(); i++) {
+                if (plan.frontends.get(i).to().equals(group.getKey())) {
+                    load += step.parts().get(i).load() * plan.frontends.get(i).units();
+                }
+            }
+            Plan.Room room = group.getValue();
+            double hot = g < warm.length ? Math.max(0, Math.min(warm[g], room.units())) : 0;
+            if (load > hot + room.coldPart() * (room.units() - hot) + 1e-9) {
+                return false;
+            }
+            g++;
+        }
+        return true;
+    }
+
+    /** A resume lifts the halt that its operator saw, once. */
+    boolean lifts(boolean halted, long halts, long seen) {
+        return halted && halts == seen;
+    }
+
+    /** What a resume alters of the position: nothing. */
+    int resumed(int position) {
+        return position;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/moves/PlanReader.java
@@ -0,0 +1,141 @@
+package tinford.fleet.moves;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import tinford.api.Effect;
+import tinford.api.Frontend;
+
+/** Reads a plan from TOML and holds it against what is known; a plan with any fault is refused whole, with all of its faults. */
+public final class PlanReader {
+    private static final Set<String> TOP = Set.of("plan", "soak_ms", "bad", "frontends");
+    private static final Set<String> BAD = Set.of("margin", "answers");
+    private static final Set<String> EACH = Set.of("name", "from", "to", "needs", "begins", "shares", "units",
+            "connections", "retries");
+    private static final int LONGEST = 256 << 10;
+    private final Plan.Known known;
+
+    public PlanReader(Plan.Known known) {
+        this.known = known;
+    }
+
+    /** @throws Faults.Refused with all faults */
+    public Plan read(String file, String text) {
+        Faults faults = new Faults(file, text);
+        if (text.length() > LONGEST) {
+            faults.add(0, "text", "262144 characters at most");
+            faults.refuse();
+        }
+        JsonNode top = tree(text, faults);
+        names(top, TOP, -1, faults);
+        JsonNode bad = top.path("bad");
+        faults.unless(bad.isObject(), -1, "bad", "a table with margin and answers");
+        names(bad, BAD, -1, faults);
+        JsonNode list = top.path("frontends");
+        faults.unless(list.isArray(), -1, "frontends", "tables [[frontends]]");
+        List<Plan.Mover> movers = new ArrayList<>();
+        for (int i = 0; list.isArray() && i < list.size(); i++) {
+            movers.add(mover(list.get(i), i, faults));
+        }
+        String name = text(top, "plan", -1, faults);
+        double soak = number(top, "soak_ms", -1, faults);
+        double margin = number(bad, "margin", -1, faults);
+        int answers = whole(bad, "answers", -1, faults);
+        Plan.check(name, soak, margin, answers, movers, faults);
+        Map<String, Plan.Room> groups = rooms(movers, faults);
+        faults.refuse();
+        return new Plan(name, soak, margin, answers, movers, groups);
+    }
+
+    private static JsonNode tree(String text, Faults faults) {
+        try {
+            return new TomlMapper().readTree(text);
+        } catch (JsonProcessingException e) {
+            faults.add(e.getLocation() == null ? 0 : e.getLocation().getLineNr(), "text",
+                    "TOML: " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            faults.refuse();
+            return null;
+        }
+    }
+
+    private Plan.Mover mover(JsonNode n, int i, Faults faults) {
+        names(n, EACH, i, faults);
+        String name = text(n, "name", i, faults);
+        Frontend f = known.frontends().get(name);
+        faults.unless(f != null, i, "name", "one of the frontends that may move, not " + name);
+        boolean uniqued = f != null && f.effect == Effect.UNIQUED;
+        String from = text(n, "from", i, faults);
+        faults.unless(f == null || from.equals(known.homes().get(name)), i, "from",
+                "where it is: " + known.homes().get(name));
+        String retries = n.has("retries") ? text(n, "retries", i, faults) : "untold";
+        faults.unless(retries.equals("told") || retries.equals("untold"), i, "retries", "told or untold");
+        List<Double> shares = new ArrayList<>();
+        boolean list = n.path("shares").isArray();
+        for (JsonNode s : n.path("shares")) {
+            list &= s.isNumber();
+            shares.add(s.asDouble());
+        }
+        faults.unless(list, i, "shares", "numbers in brackets");
+        List<String> needs = new ArrayList<>();
+        boolean texts = !n.has("needs") || n.path("needs").isArray();
+        for (JsonNode s : n.path("needs")) {
+            texts &= s.isTextual();
+            needs.add(s.asText());
+        }
+        faults.unless(texts, i, "needs", "names in brackets");
+        return new Plan.Mover(name, from, text(n, "to", i, faults), List.copyOf(needs),
+                n.has("begins") ? whole(n, "begins", i, faults) : 0, List.copyOf(shares), number(n, "units", i, faults),
+                whole(n, "connections", i, faults), uniqued, retries.equals("told"),
+                uniqued ? f.repeatWindow + f.timeout : 0);
+    }
+
+    /** The groups that are gone to; each must have room for all that comes. */
+    private Map<String, Plan.Room> rooms(List<Plan.Mover> movers, Faults faults) {
+        Map<String, Plan.Room> found = new TreeMap<>();
+        Map<String, Double> units = new HashMap<>();
+        Map<String, Double> connections = new HashMap<>();
+        for (int i = 0; i < movers.size(); i++) {
+            Plan.Mover m = movers.get(i);
+            faults.unless(known.groups().containsKey(m.from()), i, "from", "a known group, not " + m.from());
+            Plan.Room room = known.groups().get(m.to());
+            faults.unless(room != null, i, "to", "a known group, not " + m.to());
+            if (room != null) {
+                found.put(m.to(), room);
+                faults.unless(units.merge(m.to(), m.units(), Double::sum) <= room.units(), i, "units",
+                        "no more in all than the " + room.units() + " that " + m.to() + " has room for");
+                faults.unless(connections.merge(m.to(), (double) m.connections(), Double::sum) <= room.connections(), i, "connections",
+                        "no more in all than the " + room.connections() + " that " + m.to() + " has room for");
+            }
+        }
+        return found;
+    }
+
+    private static void names(JsonNode n, Set<String> known, int i, Faults faults) {
+        for (Iterator<String> at = n.fieldNames(); at.hasNext();) {
+            String key = at.next();
+            faults.unless(known.contains(key), i, key, "no such key");
+        }
+    }
+
+    private static String text(JsonNode n, String key, int i, Faults faults) {
+        faults.unless(n.path(key).isTextual(), i, key, "a text");
+        return n.path(key).asText("");
+    }
+
+    private static double number(JsonNode n, String key, int i, Faults faults) {
+        faults.unless(n.path(key).isNumber(), i, key, "a number");
+        return n.path(key).asDouble();
+    }
+
+    private static int whole(JsonNode n, String key, int i, Faults faults) {
+        faults.unless(n.path(key).isInt(), i, key, "a whole number");
+        return n.path(key).asInt();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/moves/Route.java
@@ -0,0 +1,133 @@
+package tinford.fleet.moves;
+
+import java.util.HashMap;
+import java.util.Map;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Term;
+
+/**
+ * Where the reqs of frontends that may move go through one gateway, and what it tells the others. Called on the I/O thread only; a stand
+ * and a term come from entries that were applied in order, so a term is never acted on with an older stand than it was granted after.
+ */
+public class Route {
+    private final Life self;
+    private final double every;
+    private final Map<String, Integer> salts = new HashMap<>();
+    private Stand stand;
+    private Term term;
+    private boolean acked;
+    private double ackOffered = Double.NEGATIVE_INFINITY;
+    private double reported = Double.NEGATIVE_INFINITY;
+    private long[] counts = new long[0];
+    private boolean news;
+
+    /** @param every ms after which an ack that was not seen in the log is offered again, and between reports */
+    public Route(Life self, Stand first, double every) {
+        this.self = self;
+        this.every = every;
+        first.homes().keySet().forEach(name -> salts.put(name, name.hashCode()));
+        see(first, null, false);
+    }
+
+    /** After each applied entry: how the moves stand, the own term if any, and whether the log has this life's ack of this turn. */
+    public void see(Stand now, Term own, boolean acked) {
+        if (stand == null || stand.turn() != now.turn()) {
+            counts = new long[now.plan() == null ? 0 : 4 * now.plan().frontends.size()];
+            news = false;
+            ackOffered = Double.NEGATIVE_INFINITY;
+            reported = Double.NEGATIVE_INFINITY;
+        }
+        this.stand = now;
+        this.term = own;
+        this.acked = acked;
+    }
+
+    /**
+     * Whether a req may be sent to that group now. Without a term of its own that holds by its own clock a gateway sends nothing of what
+     * may move. All reqs of one customer and frontend change together, so a retry is judged alike by every gateway.
+     *
+     * @param retry whether the client says that it asked before
+     * @param first where an earlier dispatch of this very req may have run, or null
+     */
+    public boolean mayGo(String frontend, long customer, boolean retry, String group, String first, double now) {
+        Integer salt = salts.get(frontend);
+        if (salt == null) {
+            return true;
+        }
+        if (!mayAct(now)) {
+            return false;
+        }
+        int at = stand.plan() == null ? -1 : stand.plan().index(frontend);
+        if (at < 0) {
+            return group.equals(stand.homes().get(frontend));
+        }
+        Plan.Mover mover = stand.plan().frontends.get(at);
+        if (mover.uniqued() && first != null) {
+            return group.equals(first);
+        }
+        Step.Part part = stand.step().parts().get(at);
+        return group.equals(goes(mover, part, part(customer, salt), retry));
+    }
+
+    /** By its own clock. */
+    protected boolean mayAct(double now) {
+        return term != null && term.holds(now);
+    }
+
+    /** The group, or null for neither. */
+    protected String goes(Plan.Mover mover, Step.Part part, double at, boolean retry) {
+        if (at < part.share()) {
+            return mover.to();
+        }
+        if (at >= part.until()) {
+            return mover.from();
+        }
+        if (part.phase() == Step.Phase.HOLD) {
+            return mover.told() && !retry ? mover.from() : null;
+        }
+        return mover.told() && retry ? null : mover.to();
+    }
+
+    /** From 0 to below 1, the same at every gateway. */
+    static double part(long customer, int salt) {
+        long x = customer * 0x9E3779B97F4A7C15L + salt * 0xBF58476D1CE4E5B9L;
+        x = (x ^ x >>> 30) * 0xBF58476D1CE4E5B9L;
+        x = (x ^ x >>> 27) * 0x94D049BB133111EBL;
+        return ((x ^ x >>> 31) >>> 11) * 0x1p-53;
+    }
+
+    /** An answer of a server of that group came, or failed to; late ones count as bad. */
+    public void ended(String frontend, String group, boolean good) {
+        int at = stand.plan() == null ? -1 : stand.plan().index(frontend);
+        if (at < 0) {
+            return;
+        }
+        Plan.Mover mover = stand.plan().frontends.get(at);
+        int side = group.equals(mover.to()) ? 2 : group.equals(mover.from()) ? 0 : -1;
+        if (side >= 0) {
+            counts[4 * at + side]++;
+            counts[4 * at + side + 1] += good ? 0 : 1;
+            news = true;
+        }
+    }
+
+    /** What this gateway has to tell now, or null: the ack of its turn until the log has it, then what it counted. */
+    public Entry tells(double now) {
+        if (!mayAct(now) || stand.plan() == null) {
+            return null;
+        }
+        if (!acked) {
+            if (now - ackOffered < every) {
+                return null;
+            }
+            ackOffered = now;
+            return Entry.ack(self, stand.turn(), now);
+        }
+        if (!news || now - reported < every || stand.state() != Moves.State.FORWARD) {
+            return null;
+        }
+        reported = now;
+        news = false;
+        return Entry.report(self, stand.turn(), now, counts.clone());
+    }
+}
