--- a/lab/src/main/java/tinford/lab/fleet/FleetScript.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetScript.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -83,8 +84,11 @@
         FleetScript s;
         try {
             s = TomlMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build().readValue(text, FleetScript.class);
+        } catch (JsonMappingException e) {
+            throw new Scenario.Bad(name + ": " + Scenario.place(e) + ": expected another value: " + e.getOriginalMessage().lines().findFirst()
+                    .orElse(""));
         } catch (JacksonException e) {
-            throw new Scenario.Bad(name + ": line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": expected another value: "
+            throw new Scenario.Bad(name + ": line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": expected TOML: "
                     + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
         if (s == null || s.scenario == null) {
@@ -93,14 +97,14 @@
         return s;
     }
 
-    /** The scenario with so many gateways; its own faults, if any, go with the script's. */
+    /** The scenario with so many gateways, and without its own faults: what goes wrong is the script's. */
     public Scenario scenario(Path near, int gateways) throws Scenario.Bad {
         Map<String, String> all = new java.util.LinkedHashMap<>(set);
         all.put("gateways", Integer.toString(gateways));
-        Path sibling = near.resolveSibling(scenario);
-        Scenario s = Scenario.read(sibling, all);
+        Scenario s = Scenario.read(near.resolveSibling(scenario), all);
         check(near.toString(), s.length_s(), gateways);
-        return s;
+        return new Scenario(s.length_s(), s.tick(), s.gateways(), s.net(), s.servers(), s.counter(), s.frontends(), s.plans(), s.clients(),
+                s.rules(), List.of());
     }
 
     /** What only makes sense for so many gateways and so long a run. */
--- a/lab/src/main/java/tinford/lab/fleet/Links.java
+++ b/lab/src/main/java/tinford/lab/fleet/Links.java
@@ -142,12 +142,12 @@
     /** A server listens no more, or again. */
     synchronized void shut(String server, boolean on) {
         List<StreamLink> its = servers.stream().map(m -> m.get(server)).filter(java.util.Objects::nonNull).toList();
-        loop.post(() -> its.forEach(l -> l.shut(on)));
+        done(() -> its.forEach(l -> l.shut(on)));
     }
 
     /** Between gateways, from each of the first to each of the others, and back if {@code both}. */
     void between(Collection<Integer> some, Collection<Integer> others, Impairment i, boolean on, boolean both) {
-        loop.post(() -> {
+        done(() -> {
             for (int a : some) {
                 for (int b : others) {
                     if (a != b) {
@@ -176,11 +176,20 @@
     synchronized void servers(Collection<Integer> who, Collection<String> which, Impairment i, boolean on, boolean both) {
         List<StreamLink> its = who.stream().flatMap(g -> which.stream().map(s -> servers.get(g).get(s))).filter(java.util.Objects::nonNull)
                 .toList();
-        loop.post(() -> its.forEach(l -> l.impair(i, on, true, both)));
+        done(() -> its.forEach(l -> l.impair(i, on, true, both)));
     }
 
     void counter(Collection<Integer> who, Impairment i, boolean on, boolean both) {
-        loop.post(() -> who.forEach(g -> counters[g].impair(i, on, true, both)));
+        done(() -> who.forEach(g -> counters[g].impair(i, on, true, both)));
+    }
+
+    /** What is wrong is wrong when the caller goes on. */
+    private void done(LinkLoop.Step what) {
+        try {
+            loop.call(what);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
     }
 
     @Override
--- a/lab/src/main/java/tinford/lab/scenario/Scenario.java
+++ b/lab/src/main/java/tinford/lab/scenario/Scenario.java
@@ -219,7 +219,8 @@
         return name.matches("\\d{1,6}") ? at.get(Integer.parseInt(name)) : null;
     }
 
-    private static String place(JsonMappingException e) {
+    /** Where in the file, by key. */
+    public static String place(JsonMappingException e) {
         StringBuilder s = new StringBuilder();
         for (JsonMappingException.Reference r : e.getPath()) {
             s.append(r.getFieldName() == null ? "[" + r.getIndex() + "]" : (s.length() > 0 ? "." : "") + r.getFieldName());
--- a/lab/src/test/java/tinford/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/tinford/lab/fleet/FleetTest.java
@@ -105,6 +105,39 @@
         }
     }
 
+    /** A process stands still and goes on; its disk is kept, lost or as it was when it was copied; at the end it is gone. */
+    @Test
+    public void processesAndTheirDisks() throws Exception {
+        Path folder = Files.createTempDirectory("fleet");
+        try {
+            Process p;
+            try (Processes all = new Processes(folder)) {
+                p = all.start(0, List.of("sleep", "600"), Map.of(), folder.resolve("log"));
+                Path stat = Path.of("/proc/" + p.pid() + "/stat");
+                until(() -> Files.readString(stat).contains("(sleep)"), () -> Files.readString(stat));
+                assertEquals(living(folder), List.of(p.pid()));
+                all.signal(0, "STOP");
+                until(() -> Files.readString(stat).contains(") T "), () -> Files.readString(stat));
+                all.signal(0, "CONT");
+                until(() -> Files.readString(stat).contains(") S "), () -> Files.readString(stat));
+                Path file = all.disk(0).resolve("state");
+                Files.writeString(file, "before");
+                all.copyDisk(0);
+                Files.writeString(file, "after");
+                all.give(0, FleetScript.Disk.KEPT);
+                assertEquals(Files.readString(file), "after");
+                all.give(0, FleetScript.Disk.OLD);
+                assertEquals(Files.readString(file), "before");
+                all.give(0, FleetScript.Disk.LOST);
+                assertTrue(Files.isDirectory(all.disk(0)) && !Files.exists(file));
+            }
+            assertEquals(p.isAlive(), false);
+            assertEquals(living(folder), List.of());
+        } finally {
+            Processes.delete(folder);
+        }
+    }
+
     private static List<Long> living(Path folder) throws Exception {
         if (!Files.exists(folder.resolve("pids"))) {
             return List.of();
