--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -400,7 +400,7 @@
         // guards cold servers: each earns its part of a dispatch with each one to a warm server, from a stock
         // anywhere under one, so that many gateways, also restarted ones, do not send together
         private void warmed() {
-            int warm = Math.max(1, ranked.size() - cold.size());
+            int warm = ranked.size() > cold.size() ? ranked.size() - cold.size() : Math.max(1, ranked.size());
             for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
         }
 
--- a/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
+++ b/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
@@ -65,7 +66,10 @@
         assertTrue(budget.arrives(m, 50, 1010, true).of() < 0.1);
     }
 
-    private static Scenario cold(int gateways) throws Scenario.Bad {
+    private static Scenario cold(int gateways, Map<String, String> more) throws Scenario.Bad {
+        Map<String, String> changes = new HashMap<>(Map.of("gateways", "" + gateways, "servers.count", "20", "clients.customers", "250",
+                "clients.uneven", "1", "net.list_spread", "1", "clients.use", "0.8"));
+        changes.putAll(more);
         return Scenario.of("cold", Scenarios.text(0, """
                 [[faults]]
                 kind = "SERVERS_ROLL"
@@ -85,8 +89,7 @@
                 for_s = 1
                 part = 0.6
                 size = 0
-                """, tinford.api.Effect.REPLAYABLE), Map.of("gateways", "" + gateways, "servers.count", "20", "clients.customers", "250",
-                "clients.uneven", "1", "net.list_spread", "1", "clients.use", "0.8"));
+                """, tinford.api.Effect.REPLAYABLE), changes);
     }
 
     /** Decisions that are told of other rules than those that hold. */
@@ -106,7 +109,7 @@
 
     @Test(dataProvider = "greedy")
     public void greedyDecisionsAreCaught(String what, int gateways, Gateway.Maker maker) throws Exception {
-        Outcome o = new World(cold(gateways), 1, maker).run();
+        Outcome o = new World(cold(gateways, Map.of()), 1, maker).run();
         Map<String, Double> f = o.figures();
         assertTrue(f.get("cold_blamed") > 1 && f.get("cold_falls") > 0, what + ": " + f);
         assertTrue(o.broken().stream().anyMatch(b -> b.startsWith("cold: s")), what + ": " + o.broken());
@@ -116,7 +119,7 @@
     public void theDecisionsStayUnder() throws Exception {
         for (int gateways : new int[] {4, 20}) {
             for (int seed = 1; seed <= 3; seed++) {
-                Outcome o = new World(cold(gateways), seed, Decide::new).run();
+                Outcome o = new World(cold(gateways, Map.of()), seed, Decide::new).run();
                 Map<String, Double> f = o.figures();
                 assertEquals(o.broken(), List.of(), gateways + " gateways, seed " + seed);
                 assertTrue(f.get("cold_blamed") > 0.1 && f.get("cold_blamed") < 0.9, f.toString());
@@ -125,6 +128,17 @@
         }
     }
 
+    /** All servers start anew at once: none is warm, and cold ones earn with what comes. */
+    @Test
+    public void theDecisionsStayUnderWhereNoneIsWarm() throws Exception {
+        for (int seed = 1; seed <= 3; seed++) {
+            Scenario s = cold(20, Map.of("faults.2.part", "1", "faults.2.at_s", "3"));
+            Outcome o = new World(s, seed, Decide::new).run();
+            assertEquals(o.broken(), List.of(), "seed " + seed);
+            assertTrue(o.figures().get("cold_blamed") > 0.1, o.figures().toString());
+        }
+    }
+
     @DataProvider
     public Object[][] wrong() {
         return new Object[][] {
