--- a/fleet/src/main/java/tinford/fleet/overload/Overload.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Overload.java
@@ -55,16 +55,22 @@
         return s;
     }
 
-    @Override
     public double threshold() {
         return line.threshold();
     }
 
-    @Override
     public double partAtThreshold() {
         return line.part();
     }
 
+    /** By class of worth, so that gateways whose lines differ a little within one shed alike. */
+    @Override
+    public double part(double worth) {
+        int c = Sight.classOf(worth);
+        int at = Sight.classOf(line.threshold());
+        return line.threshold() <= 0 || c > at ? 1 : c < at ? 0 : line.part();
+    }
+
     @Override
     public double further(double byOwn) {
         return alone ? byOwn : further.level();
@@ -91,7 +97,7 @@
     }
 
     @Override
-    public void sent(Req req, Srv srv, boolean again) {
+    public void sent(Req req, Srv srv, double worth, boolean again) {
         own.sent(again);
         further.sent(again);
         owners.tried(srv);
--- a/fleet/src/main/java/tinford/fleet/overload/Trial.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Trial.java
@@ -150,8 +150,8 @@
 
         void arrive(Job j) {
             view.asked(j.req, j.worth);
-            double t = view.threshold();
-            if (j.worth < t || j.worth < t * Math.sqrt(2) && chance.nextDouble() >= view.partAtThreshold()) deny(j);
+            double part = view.part(j.worth);
+            if (part < 1 && chance.nextDouble() >= part) deny(j);
             else if (full() || !send(j)) line.add(j);
         }
 
@@ -169,7 +169,7 @@
             Server s = best;
             nodes.get(s).out++;
             out++;
-            view.sent(j.req, s.srv, j.hops > 0);
+            view.sent(j.req, s.srv, j.worth, j.hops > 0);
             boolean strained = now >= STARTS && now < STARTS + LOST_MS;
             if (!j.further) spare = Math.min(10, spare + 0.1);
             if (strained) {
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -0,0 +1,114 @@
+package tinford.fleet.run;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger.Level;
+import java.util.Random;
+import java.util.function.Consumer;
+import tinford.api.Place;
+import tinford.api.View;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Members;
+import tinford.fleet.overload.Overload;
+import tinford.fleet.talk.Talk;
+import tinford.fleet.talk.Udp;
+import tinford.program.Companion;
+import tinford.transport.Loop;
+
+/** One gateway's part in its fleet: what the operator file asks for, made once and called on the I/O thread from then on. */
+final class Fleet implements Companion {
+    private static final System.Logger LOG = System.getLogger("tinford.fleet");
+    private static final double TICK = 50;
+    private static final int MOST_BYTES = 256;
+    private static final int MOST_SOFT = 128;
+    private static final int MOST_HARD = 1024;
+    private final Orders orders;
+    private final Handed handed;
+    private final String historyPath;
+    private final double offset;
+    private Life life;
+    private History history;
+    private Mailbox mailbox;
+    private Members members;
+    private Talk talk;
+    private Overload overload;
+    private FleetView view;
+    private int seq;
+    private double last;
+    private int living = -1;
+    private boolean strained;
+
+    Fleet(Orders orders, Handed handed, String historyPath) {
+        this.orders = orders;
+        this.handed = handed;
+        this.historyPath = historyPath;
+        this.offset = Double.parseDouble(System.getProperty("tinford.clock.offset_ms", "0")); // for tests: a clock that is apart
+    }
+
+    /** This machine's wall clock; never steps back. */
+    private double now() {
+        last = Math.max(last, System.currentTimeMillis() + offset);
+        return last;
+    }
+
+    @Override
+    public View join(Place place, Consumer<Loop.Due> enter) {
+        double now = now();
+        life = new Life(place.number, (long) now);
+        mailbox = new Mailbox(MOST_SOFT, MOST_HARD, what -> enter.accept(what::run));
+        double every = orders.number("talk.every_ms");
+        double suspect = orders.number("talk.suspect_ms");
+        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect, new Random(handed.seed()));
+        overload = new Overload(now, life, orders.number("overload.window_ms"), orders.number("overload.further_part"),
+                new Random(handed.seed() + 1));
+        view = new FleetView(orders.on("overload.on") ? overload : null);
+        try {
+            history = History.at(historyPath, life);
+            if (handed.mayTalk()) {
+                talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
+                        (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        history.add(now, "start");
+        LOG.log(Level.INFO, "one of a fleet of " + place.gateways + (talk == null ? "; the settings allow no talk" : ""));
+        return view;
+    }
+
+    @Override
+    public void tick() {
+        double now = now();
+        members.own(overload.sight(seq++), now);
+        if (talk != null) {
+            members.round(now, talk);
+        }
+        overload.round(now, members);
+        tell(now);
+    }
+
+    /** What changed is told in the log and the history. */
+    private void tell(double now) {
+        if (members.living() != living) {
+            living = members.living();
+            LOG.log(Level.INFO, "of the fleet live " + members.all());
+            history.add(now, "living", "who", members.all());
+        }
+        if (overload.threshold() > 0 != strained) {
+            strained = !strained;
+            LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
+                    : "the fleet is strained no more");
+            history.add(now, "line", "worth", overload.threshold(), "part", overload.partAtThreshold());
+        }
+    }
+
+    @Override
+    public double every() {
+        return TICK;
+    }
+
+    @Override
+    public void leaves() {
+        history.add(now(), "leaves");
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/run/Handed.java
@@ -0,0 +1,46 @@
+package tinford.fleet.run;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import tinford.routing.Addresses;
+
+/** What the fleet needs of the gateway's own configuration, which the gateway itself checks whole. */
+record Handed(String name, InetSocketAddress listen, List<InetSocketAddress> peers, long seed, boolean mayTalk) {
+    static Handed read(String path) throws IOException {
+        if (path == null) {
+            throw new IOException("environment, ROUTER_CONFIG: expected the path of the configuration");
+        }
+        JsonNode all;
+        try {
+            all = new ObjectMapper().readTree(Files.readString(Path.of(path)));
+        } catch (IOException e) {
+            throw new IOException("configuration: expected JSON in a file that can be read, " + path);
+        }
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (JsonNode p : all.path("peers")) {
+            peers.add(address("peers", p));
+        }
+        boolean mayTalk = all.path("settings").path("Limits").path("Peers").asBoolean();
+        long seed;
+        try {
+            seed = Long.parseUnsignedLong(all.path("seed").asText(), 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("configuration, seed: expected a number in hex digits");
+        }
+        return new Handed(all.path("name").asText(""), mayTalk ? address("peer_listen", all.path("peer_listen")) : null, peers, seed, mayTalk);
+    }
+
+    private static InetSocketAddress address(String field, JsonNode v) throws IOException {
+        InetSocketAddress a = Addresses.of(v.asText());
+        if (a == null) {
+            throw new IOException("configuration, " + field + ": expected numeric host:port, not " + v);
+        }
+        return a;
+    }
+}
--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -144,6 +144,7 @@
         Win countedIn;
         double total;
         boolean begun, over, waits, decided, passed; // for the window before only; no more; on silence
+        boolean inside; // its quota
 
         Job(Req req) {
             this.req = req;
@@ -197,6 +198,7 @@
         if (job.hops.isEmpty()) {
             job.book.tally.asked.add(now, job.worth * job.req.units);
             view.asked(job.req, job.worth);
+            job.inside = true;
             // what the whole fleet sheds now is shed wherever it enters, at once; so is what may go nowhere
             double part = view.goes(job.req) ? view.part(job.worth) : 0;
             if (part < 1 && chance.nextDouble() >= part) { finish(job, 0); return; }
@@ -209,6 +211,7 @@
 
     /** Nothing more is done for the req; units that were counted but never sent on go back. */
     private void over(Job job) {
+        if (job.inside && job.hops.isEmpty() && !job.over) view.denied(job.req, job.worth);
         job.over = true;
         line.remove(job);
         if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
--- a/gateway/src/main/java/tinford/api/View.java
+++ b/gateway/src/main/java/tinford/api/View.java
@@ -48,6 +48,9 @@
     /** A req within its quota was asked for, worth so much a unit. */
     public void asked(Req req, double worth) { }
 
+    /** Of those that were asked for, one is over that was never sent: shed, denied, or left by its client. */
+    public void denied(Req req, double worth) { }
+
     /** It went to a server, for the first time or again. */
     public void sent(Req req, Srv srv, double worth, boolean further) { }
 
@@ -57,6 +60,11 @@
     /** It could not go where it wanted, as no connection or share of its customer was free. */
     public void lacked(Req req) { }
 
+    /** A connection to the server is opened, or is gone. */
+    public void opened(Srv srv) { }
+
+    public void closed(Srv srv) { }
+
     /** A server was put aside, or is as others again. */
     public void ill(Srv srv, boolean ill) { }
 }
--- a/gateway/src/main/java/tinford/routing/Servers.java
+++ b/gateway/src/main/java/tinford/routing/Servers.java
@@ -145,6 +145,7 @@
             link = new ServerLink(desk, this, b);
             links++;
             b.links++;
+            desk.view.opened(b);
             link.carry(d, patience);
             link.connect(room ? connectWithin : 0);
         } else {
@@ -187,6 +188,7 @@
     void gone(ServerLink link, Ending how) {
         links--;
         link.backend.links--;
+        desk.view.closed(link.backend);
         link.backend.idle.remove(link);
         // guards against connections that look idle and lead to a machine that is gone: none can be opened to it
         if (how == Ending.REFUSED || how == Ending.NEVER_UP) {
