--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -40,6 +40,7 @@
     private double now, startedAt, spare, meanWorth = 1;
     private double leftAt = Double.POSITIVE_INFINITY; // another process of this gateway takes its reqs since
     private Writer out;
+    private View view = new View(); // of a fleet; alone it bounds nothing, and all here is as if it were not
 
     public Decide(long seed, Place place, Limits limits, Rules rules, CounterTerms counter, Goal goal,
             boolean mustAsk) {
@@ -65,6 +66,8 @@
         out.alarm(TICK, TICK_MS);
     }
 
+    @Override public void sees(View fleet) { view = fleet; }
+
     /** No ceiling has filled here while another process drew on it. */
     @Override public void takesOver() { startedAt = now; }
 
@@ -123,6 +126,7 @@
         Hop hop = job.hops.get(no);
         hop.end = how;
         job.book.open--;
+        view.ended(req, hop.node.srv, how, now > job.targetAt);
         if (!hop.begun) fleet.learn(hop, how, took, settled > 0 ? settled : job.req.units);
         boolean good = how == End.GOOD;
         if (!hop.begun && (good || how == End.BROKEN)) (good ? finished : broken).add(now, 1);
@@ -140,6 +144,7 @@
         Win countedIn;
         double total;
         boolean begun, over, waits, decided, passed; // for the window before only; no more; on silence
+        boolean inside; // its quota
 
         Job(Req req) {
             this.req = req;
@@ -190,7 +195,14 @@
     /** A req within its quota goes to a server, into the line, or is denied when the line would be late. */
     private void admit(Job job) {
         double dry = job.hops.isEmpty() ? job.book.ceilingWait(job.req.units) : 0;
-        if (job.hops.isEmpty()) job.book.tally.asked.add(now, job.worth * job.req.units);
+        if (job.hops.isEmpty()) {
+            job.book.tally.asked.add(now, job.worth * job.req.units);
+            view.asked(job.req, job.worth);
+            job.inside = true;
+            // what the whole fleet sheds now is shed wherever it enters, at once; so is what may go nowhere
+            double part = view.goes(job.req) ? view.part(job.worth) : 0;
+            if (part < 1 && chance.nextDouble() >= part) { finish(job, 0); return; }
+        }
         if (send(job, fleet.pick(job))) return;
         double one = Math.min(Ring.SPAN / finished.total(now), job.req.frontend.target); // ends as often
         double wait = line.headSet(job).size() * one;
@@ -199,6 +211,7 @@
 
     /** Nothing more is done for the req; units that were counted but never sent on go back. */
     private void over(Job job) {
+        if (job.inside && job.hops.isEmpty() && !job.over) view.denied(job.req, job.worth);
         job.over = true;
         line.remove(job);
         if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
@@ -216,7 +229,8 @@
     private void again(Job job, End how) {
         job.reach();
         double costs = how.mayHaveRun ? 1 : 0;
-        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches && spare >= costs;
+        boolean may = now < job.reachBy && job.hops.size() < limits.maxDispatches
+                && view.further(spare) >= costs;
         if (may) spare -= costs;
         if (may) admit(job); else finish(job, now < job.targetAt ? 0 : job.req.frontend.target);
     }
@@ -227,7 +241,9 @@
         Effect effect = job.req.frontend.effect;
         boolean harmless = effect == Effect.REPLAYABLE || !job.mayHaveRun()
                 || effect == Effect.UNIQUED && job.req.frontend.group == Group.ALL;
-        if (harmless) out.deny(job.req, Math.max(wait, 2 * TICK_MS)); else out.abort(job.req);
+        wait = Math.max(wait, 2 * TICK_MS);
+        if (view.spread() > 0) wait += view.spread() * chance.nextDouble(); // not all come back together
+        if (harmless) out.deny(job.req, wait); else out.abort(job.req);
     }
 
     /** Every rule on dispatches, asked by every dispatch. */
@@ -235,8 +251,10 @@
         Frontend f = job.req.frontend;
         if (job.over || job.begun || now >= job.req.expires || node.srv.state != Srv.State.UP
                 || job.hops.size() >= limits.maxDispatches) { return false; }
+        Srv first = null;
         for (Hop h : job.hops) {
             if (h.end == null && !limits.mayDuplicate) return false;
+            if (h.end == null || h.end.mayHaveRun) first = h.node.srv;
             if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.REPLAYABLE) continue;
             Srv was = h.node.srv;
             boolean drops = f.group == Group.ALL || f.group == Group.ZONE && was.zone.equals(node.srv.zone)
@@ -246,6 +264,11 @@
             }
         }
         if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return false;
+        if (!view.mayGo(job.req, node.srv, first)) return false;
+        if (node.running.size() >= view.mayHold(node.srv) || job.book.open >= view.mayUse(job.req.customer)) {
+            view.lacked(job.req);
+            return false;
+        }
         return !node.cold() || node.tokens >= 1;
     }
 
@@ -256,6 +279,7 @@
             job.book.tally.sent.add(now, job.worth * job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
         }
+        view.sent(job.req, node.srv, job.worth, !job.hops.isEmpty());
         Hop hop = new Hop(job, node);
         job.hops.add(hop);
         job.book.open++;
@@ -274,14 +298,23 @@
         double usual = -1; // strain when little waits; quick to fall, slow to rise
         int unreached, slots = 1;
         boolean sick;
-        // guards against all gateways on one top, and each against opening connections to every server: drawn once
+        // drawn once: guards against all gateways on one top, and each against connections to every server
         final double luck = chance.nextDouble();
         double barredUntil, order, tokens, born, meanStrain = 0.2, rel = 1; // its strain over the fleet's
 
         Node(Srv srv) { this.srv = srv; }
 
         /** Full, down, no connection left, or failing: asked again ever more rarely, up to 4 s. */
-        void bar() { barredUntil = now + 250 * (1 << Math.min(4, unreached++)); }
+        void bar() {
+            barredUntil = now + 250 * (1 << Math.min(4, unreached++));
+            view.ill(srv, true);
+        }
+
+        /** One that was put aside is tried by the gateway of the fleet that looks after it. */
+        boolean tried() {
+            return now >= barredUntil && (!sick || running.isEmpty())
+                    && (!sick && unreached == 0 || view.looksAfter(srv));
+        }
 
         double failing() { return late.total(now) / Math.max(4, answers.total(now) + running.size()); }
 
@@ -327,7 +360,7 @@
             return Math.min(0.8, Math.max(0.1, 1.3 * pooled * size(r.units))) * r.frontend.target;
         }
 
-        /** How long a req of so many units takes, over one of mean size: a line through the answers of late. */
+        /** What a req of so many units takes, over one of mean size: a line through the answers of late. */
         double size(double units) {
             double spread = unitsSquared - meanUnits * meanUnits;
             double slope = spread < 0.01 ? 0 : (unitsTimesPart - meanUnits * meanPart) / spread;
@@ -353,8 +386,8 @@
             for (Node n : cold) { if (now >= n.barredUntil && allowed(job, n)) return n; }
             for (int pass = 1; pass <= 3; pass++) {
                 for (Node n : ranked) {
-                    if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && now >= n.barredUntil
-                            && (!n.sick || n.running.isEmpty()) && allowed(job, n)) { return n; }
+                    if (n.running.size() < Math.ceil(n.slots * pass / 3.0) && n.tried()
+                            && allowed(job, n)) { return n; }
                 }
             }
             return null;
@@ -370,7 +403,7 @@
         // guards cold servers: each earns its part of a dispatch with each one to a warm server, from a stock
         // anywhere under one, so that many gateways, also restarted ones, do not send together
         private void warmed() {
-            int warm = Math.max(1, ranked.size() - cold.size());
+            int warm = ranked.size() > cold.size() ? ranked.size() - cold.size() : Math.max(1, ranked.size());
             for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
         }
 
@@ -378,6 +411,7 @@
             Node n = hop.node;
             n.running.remove(hop);
             if (hop.apart) apart--; else out--;
+            if (how == End.GOOD && n.unreached > 0) view.ill(n.srv, false);
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
@@ -574,8 +608,8 @@
         // of many gateways each would take all the room that was left
         boolean fresh() { return 4 * slice >= 1 && cur.read && now - cur.readAt < plan.burst / plan.rate; }
 
-        // where calls are short those tell most whose room is not known, or small; and none that pass either way:
-        // guards plans whose excess costs against others that take the calls they are judged by
+        // where calls are short those tell most whose room is not known, or small; and none that pass either
+        // way: guards plans whose excess costs against others that take the calls they are judged by
         double patience() { return soft() || fresh() && fits(cur.total + plan.burst / 2) ? 4 : 0.5; }
 
         /** On the last total, as if the others have used their slices of what has come free since. */
@@ -620,7 +654,7 @@
     private static final int SILENT_AFTER = 4; // unanswered calls in a row
     private static final double ASK_SILENT_MS = 50; // all gateways together look for its end this often
     private static final double CALM_MS = 700, SLOWER = 1.5; // gaps between calls: shrink in, grow by
-    private static final double QUEUED = 0.35; // of its time, over the least that calls take: it waited behind others
+    private static final double QUEUED = 0.35; // of its time, over the least that calls take: it waited there
     private static final double LATE_MS = 1000; // a counter that answers late is slow, not silent
     private static final double TRUST_MS = 500; // an empty quota is believed this long without another call
 
@@ -721,8 +755,8 @@
             if (job.waits) call(b, b.prev, job, 0); else judge(job);
         }
 
-        // guards against a counter that bears less than a call a req: fewer made, more answered in time. Of many
-        // gateways each sees the line there grow by the time of its calls, before any is missed
+        // guards against a counter that bears less than a call a req: fewer made, more answered in time. Of
+        // many gateways each sees the line there grow by the time of its calls, before any is missed
         private void pace(boolean answered, double took) {
             if (now - leastSince > 10_000) {
                 leastBefore = least;
--- /dev/null
+++ b/gateway/src/main/java/tinford/program/Companion.java
@@ -0,0 +1,24 @@
+package tinford.program;
+
+import java.util.function.Consumer;
+import tinford.api.Place;
+import tinford.api.View;
+import tinford.transport.Loop;
+
+/** What acts beside a gateway for a whole fleet, on its I/O thread. A gateway that is handed none is alone, and loads none of it. */
+public interface Companion {
+    /**
+     * Called once, within the first round and before anything comes in.
+     *
+     * @param enter from any thread: runs what it is given within a round, soon
+     */
+    View join(Place place, Consumer<Loop.Due> enter);
+
+    /** Within a round, each {@link #every} ms. */
+    void tick();
+
+    double every();
+
+    /** Within a round: this process is told to end, and goes on until all it took is answered. */
+    void leaves();
+}
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import tinford.api.Gateway;
 import tinford.api.Limits;
@@ -49,12 +50,20 @@
     /** Of the connections to the counter one that hangs holds up a part of the calls; counters take many more from an address. */
     private static final int TO_COUNTER = 4;
 
+    /** Discovery's agent answers at once; one that has said nothing by then is down, and the list known is all there is. */
+    private static final double FIRST_LIST = 400;
+
     private Serve() {}
 
     /** Starts a gateway, which then lives in its I/O thread; the result is an exit code, or -1 when it runs. */
     public static int start(Map<String, String> env, PrintStream err, Gateway.Maker maker) {
+        return start(env, err, maker, null);
+    }
+
+    /** @param companion acts for a fleet beside this gateway, and has the datagrams between gateways; null for a gateway alone */
+    public static int start(Map<String, String> env, PrintStream err, Gateway.Maker maker, Companion companion) {
         try {
-            run(env, maker);
+            run(env, maker, companion);
             return -1;
         } catch (BadInput e) {
             err.println("tinford: " + e.getMessage());
@@ -66,7 +75,7 @@
         return 1;
     }
 
-    private static void run(Map<String, String> env, Gateway.Maker maker) throws IOException {
+    private static void run(Map<String, String> env, Gateway.Maker maker, Companion companion) throws IOException {
         JsonFactory json = new JsonFactory();
         AtomicReference<FileTime> seen = new AtomicReference<>(written(env.get("ROUTER_CONFIG")));
         Fields given = read(json, env.get("ROUTER_CONFIG"));
@@ -87,35 +96,58 @@
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout,
                 TO_COUNTER) : null;
         Fields known = given.part("known");
-        Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers, Handed.mustAsk(set),
+        Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers,
                 json, known.whole("seq", 0), new Random(seed(given)));
-        Peers peers = limits.peers ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
+        Peers peers = limits.peers && companion == null ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
                 Addresses.of(given, "peers_all")) : null;
         desk.seat(clients, servers, counter, watch, peers);
         Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
         Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn)) : null;
         Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"), sockets / 2);
-        boolean first = handover.first();
+        CountDownLatch tried = new CountDownLatch(1);
+        AtomicReference<IOException> shut = new AtomicReference<>();
         desk.loop.enter(() -> {
             desk.begin();
             if (managed) {
                 operators.begin();
             }
-            servers.list(known);
-            if (!first) {
-                handover.await();
+            if (companion != null) {
+                desk.sees(companion.join(Handed.place(set), desk.loop::enter));
+                accompany(desk, servers, companion);
             }
+            servers.list(known);
             if (counter != null) {
                 counter.connect();
             }
+            // guards against a list out of date: what is pushed counts as told from this process's first moment on
+            watch.whenFirst(Handed.mustAsk(set) ? 0 : FIRST_LIST, () -> {
+                try {
+                    if (!handover.first()) {
+                        handover.await();
+                    }
+                } catch (IOException e) {
+                    shut.set(e);
+                }
+                tried.countDown();
+            });
             if (!Handed.mustAsk(set)) {
                 watch.want(true);
             }
         });
+        await(tried);
+        if (shut.get() != null) {
+            desk.loop.close();
+            throw shut.get();
+        }
         if (managed) {
             operators.listen(Addresses.of(given, "management"));
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(handover::leave, "leave"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (companion != null) {
+                desk.loop.enter(companion::leaves);
+            }
+            handover.leave();
+        }, "leave"));
         // guards against the end that SIGHUP is to a JVM by itself
         onHangUp(() -> {
             seen.set(written(env.get("ROUTER_CONFIG")));
@@ -130,6 +162,22 @@
         });
     }
 
+    private static void accompany(Desk desk, Servers servers, Companion companion) {
+        desk.loop.after(companion.every(), () -> {
+            companion.tick();
+            servers.trim();
+            accompany(desk, servers, companion);
+        });
+    }
+
+    private static void await(CountDownLatch what) throws IOException {
+        try {
+            what.await();
+        } catch (InterruptedException e) {
+            throw new IOException("the start was cut short", e);
+        }
+    }
+
     /** The JDK has no other way to hear a signal, and the compiler warns wherever this one is named; hence by its name. */
     private static void onHangUp(Runnable then) {
         try {
--- a/gateway/src/main/java/tinford/routing/Desk.java
+++ b/gateway/src/main/java/tinford/routing/Desk.java
@@ -4,11 +4,13 @@
 import java.lang.System.Logger.Level;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import tinford.api.End;
 import tinford.api.Gateway;
 import tinford.api.Inbox;
 import tinford.api.Req;
 import tinford.api.Srv;
+import tinford.api.View;
 import tinford.api.Writer;
 import tinford.transport.Clock;
 import tinford.transport.Ending;
@@ -30,6 +32,8 @@
     private Counter counter;
     private Watch watch;
     private Peers peers;
+    /** What a fleet has settled; alone, it bounds nothing. */
+    View view = new View();
     /** Of the present round. */
     Inbox in;
     double now = clock.now();
@@ -38,9 +42,14 @@
 
     /** @param bytes what the buffers of all connections may take */
     public Desk(Gateway gateway, int mostDispatches, int descriptors, long bytes) throws IOException {
+        this(gateway, mostDispatches, descriptors, bytes, System::nanoTime);
+    }
+
+    /** @param nanos the time that timers go by */
+    Desk(Gateway gateway, int mostDispatches, int descriptors, long bytes, LongSupplier nanos) throws IOException {
         this.gateway = gateway;
         this.mostDispatches = mostDispatches;
-        this.loop = new Loop(this::turn, descriptors, bytes);
+        this.loop = new Loop(this::turn, descriptors, bytes, nanos);
     }
 
     public void seat(Clients clients, Servers servers, Counter counter, Watch watch, Peers peers) {
@@ -56,6 +65,12 @@
         in.started();
     }
 
+    /** Within a round: the gateway is one of a fleet from now on. */
+    public void sees(View fleet) {
+        view = fleet;
+        in.sees(fleet);
+    }
+
     /** Within a round: this process has the reqs of this gateway from another one, or gives them to one. */
     public void takesOver() {
         in.takesOver();
--- a/gateway/src/test/java/tinford/program/SocketTest.java
+++ b/gateway/src/test/java/tinford/program/SocketTest.java
@@ -967,9 +967,15 @@
                 + text + "\r\n");
     }
 
-    @Test
-    public void watchIsTakenUpAgainAndDrainsAreKept() throws Exception {
-        Talk client = up();
+    @DataProvider
+    public Object[][] discoveries() {
+        return new Object[][] {{"automatic"}, {"subscribe"}};
+    }
+
+    /** Whether lists come by themselves or are asked for. */
+    @Test(dataProvider = "discoveries")
+    public void watchIsTakenUpAgainAndDrainsAreKept(String how) throws Exception {
+        Talk client = up("\"Discovery\":\"automatic\"", "\"Discovery\":\"" + how + "\"");
         Talk watch = accept(discovery);
         assertEquals(watch.line(), "GET /registry/instances?watch=1&after=41 HTTP/1.1");
         chunk(watch, "\n{\"seq\":43,\"whole\":false,\"hosts\":[" + entry(1, servers[1], "ready") + "]}\n", true);
@@ -991,6 +997,35 @@
         says(log, "discovery: expected discovery: seq: expected a whole number");
     }
 
+    /** A list that says what has changed since the one known is heard before the first client is let in. */
+    @Test
+    public void theFirstListIsHeardBeforeTheFirstClient() throws Exception {
+        Thread agent = new Thread(() -> {
+            try {
+                Talk watch = accept(discovery);
+                watch.line();
+                Thread.sleep(150); // a client that is let in meanwhile would have its req sent where the known list says
+                chunk(watch, "{\"seq\":42,\"whole\":false,\"hosts\":[" + entry(0, servers[0], "draining") + ","
+                        + entry(1, servers[1], "ready") + "]}\n", true);
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        agent.start();
+        Talk client = up();
+        for (int i = 0; i < 4; i++) {
+            client.say(ask(i));
+            Talk server = accept(servers[1]);
+            server.hear();
+            server.say(value("ok"));
+            assertEquals(client.hear(), "ok");
+            server.socket.close();
+        }
+        agent.join();
+        servers[0].setSoTimeout(1);
+        assertThrows(java.net.SocketTimeoutException.class, () -> accept(servers[0]));
+    }
+
     @Test
     public void sigtermLeavesNothingUnanswered() throws Exception {
         Talk client = up();
