--- a/fleet/src/main/java/tinford/fleet/talk/Memory.java
+++ b/fleet/src/main/java/tinford/fleet/talk/Memory.java
@@ -71,8 +71,8 @@
         }
 
         /**
-         * A process of that gateway. An earlier process of the same number takes no more, but may send until it is closed; what was
-         * under way to or from it still arrives.
+         * A process of that gateway. An earlier process of the same number takes no more, but may send until it is closed; what
+         * was under way to or from it still arrives.
          */
         public Talk at(int gateway, Talk.Taker taker) {
             if (gateway < 0 || gateway >= gateways) {
--- a/fleet/src/main/java/tinford/fleet/talk/Udp.java
+++ b/fleet/src/main/java/tinford/fleet/talk/Udp.java
@@ -9,6 +9,8 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,9 +19,9 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * Messages as datagrams. One thread of its own takes what comes from the listed addresses, as from the number that has the address;
- * all else is dropped and counted. Nothing is kept outside the socket's own buffers, which hold {@link #BUFFER} bytes at most (the
- * system may count double).
+ * Messages as datagrams. One thread of its own takes what comes from the listed addresses, as from the number that has the
+ * address; all else is dropped and counted. Nothing is kept outside the socket's own buffers, which hold {@link #BUFFER} bytes at
+ * most (the system may count double).
  */
 public final class Udp implements Talk {
     private static final int BUFFER = 256 * 1024;
@@ -43,7 +45,7 @@
     /** @param peers by number; the own one may be anything, null too */
     public Udp(int own, InetSocketAddress listen, List<InetSocketAddress> peers, int most, Taker taker) throws IOException {
         this.own = own;
-        this.peers = java.util.Collections.unmodifiableList(new java.util.ArrayList<>(peers));
+        this.peers = Collections.unmodifiableList(new ArrayList<>(peers));
         this.most = most;
         this.taker = taker;
         for (int i = 0; i < peers.size(); i++) {
@@ -52,7 +54,7 @@
                 continue;
             }
             if (one == null || one.isUnresolved() || one.getPort() == 0) {
-                throw new IllegalArgumentException("peers, " + i + ": expected an address that resolves, and a port, found " + one);
+                throw new IllegalArgumentException("peers, " + i + ": expected an address that resolves, with port: " + one);
             }
             if (numbers.put(one, i) != null) {
                 throw new IllegalArgumentException("peers, " + i + ": expected an address of its own, found " + one + " twice");
