--- a/fleet/src/main/java/tinford/fleet/budgets/Cost.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Cost.java
@@ -1,12 +1,13 @@
 package tinford.fleet.budgets;
 
+import java.lang.management.ManagementFactory;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
 import tinford.fleet.members.Life;
 import tinford.fleet.members.Terms;
 
-/** Prints what one proposal and its entry cost as servers, gateways, accounts and those awake grow. */
+/** Prints what one proposal and its entry cost in processor time as servers, gateways, accounts and those awake grow. */
 public final class Cost {
     private Cost() { }
 
@@ -15,12 +16,19 @@
             {400, 400, 10_000, 200}, {400, 400, 10_000, 1000}, {400, 400, 10_000, 10_000}};
         System.out.println("| servers | gateways | accounts | awake | first proposal ms | later ms | entry bytes, first, later | apply ms, first, later"
             + " | snapshot bytes |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-        measure(sizes[0], false);
+        for (int i = 0; i < 20; i++) {
+            measure(sizes[i % 2], false);
+        }
         for (int[] size : sizes) {
             measure(size, true);
         }
     }
 
+    /** Processor time, as the wall clock tells of what else runs. */
+    private static long cpu() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
     private static void measure(int[] size, boolean print) {
         Random random = new Random(1);
         Map<String, Integer> offers = new LinkedHashMap<>();
@@ -57,13 +65,13 @@
                 ledger.apply(++index, Ledger.tell(life, 2 + round, index, wanted.getOrDefault(g, Map.of()), held));
             }
             Proposer proposer = new Proposer(a -> new Proposer.Plan(1 + (int) (a % 4), 1, 1000), 0);
-            long t = System.nanoTime();
+            long t = cpu();
             byte[] entry = proposer.propose(ledger, 2 + round);
-            long u = System.nanoTime();
+            long u = cpu();
             if (entry != null) {
                 ledger.apply(++index, entry);
             }
-            long v = System.nanoTime();
+            long v = cpu();
             took[first ? 0 : 1] += (u - t) / 1e6 / (first ? 1 : 11);
             took[first ? 2 : 3] += (entry == null ? 0.0 : entry.length) / (first ? 1 : 11);
             took[first ? 4 : 5] += (v - u) / 1e6 / (first ? 1 : 11);
