--- a/fleet/src/main/java/tinford/fleet/budgets/Cost.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Cost.java
@@ -14,8 +14,8 @@
     public static void main(String[] args) {
         int[][] sizes = {{10, 10, 1000, 50}, {100, 100, 10_000, 200}, {400, 100, 10_000, 200}, {100, 400, 10_000, 200},
             {400, 400, 10_000, 200}, {400, 400, 10_000, 1000}, {400, 400, 10_000, 10_000}};
-        System.out.println("| servers | gateways | accounts | awake | first proposal ms | later ms | entry bytes, first, later | apply ms, first, later"
-            + " | snapshot bytes |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println("| servers | gateways | accounts | awake | first proposal ms | later ms | entry bytes, first, later"
+            + " | apply ms, first, later | snapshot bytes |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (int i = 0; i < 20; i++) {
             measure(sizes[i % 2], false);
         }
@@ -77,7 +77,8 @@
             took[first ? 4 : 5] += (v - u) / 1e6 / (first ? 1 : 11);
         }
         if (print) {
-            System.out.printf("| %d | %d | %d | %d | %.1f | %.1f | %.0f, %.0f | %.1f, %.1f | %d |%n", size[0], size[1], size[2], size[3],
+            System.out.printf("| %d | %d | %d | %d | %.1f | %.1f | %.0f, %.0f | %.1f, %.1f | %d |%n",
+                size[0], size[1], size[2], size[3],
                 took[0], took[1], took[2], took[3], took[4], took[5], ledger.snapshot().length);
         }
     }
--- a/fleet/src/main/java/tinford/fleet/budgets/Division.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Division.java
@@ -5,10 +5,10 @@
 import java.util.List;
 
 /**
- * One pool divided: how many connections each gateway may hold at each server, and how many dispatches each account may have out through
- * each gateway. Accounts' parts are the weighted max-min of all that can be used; the previous division is kept where it may be. Rows are
- * gateways, columns servers. What a gateway has of its own (static) serves its own accounts first; where they don't use their
- * part of it, others' demand there does.
+ * One pool divided: how many connections each gateway may hold at each server, and how many dispatches each account may have out
+ * through each gateway. Accounts' parts are the weighted max-min of all that can be used; the previous division is kept where it
+ * may be. Rows are gateways, columns servers. What a gateway has of its own (static) serves its own accounts first; where they
+ * don't use their part of it, others' demand there does.
  */
 public final class Division {
     /** An account that asks: what it wants, and had before, at each of {@code rows}. */
@@ -42,7 +42,8 @@
         }
     }
 
-    /** A part of an account at a gateway is left as it was while it is off the even part by no more than this part of it, and one. */
+    /** A part of an account at a gateway is left as it was while it is off the even part by no more than this part of it, and
+     * one. */
     private static final double KEPT = 0.25;
     private static final int PASSES = 64;
 
--- a/fleet/src/main/java/tinford/fleet/budgets/Ledger.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Ledger.java
@@ -19,9 +19,9 @@
 import tinford.fleet.store.Log;
 
 /**
- * Who was granted what at which server, by the entries of the log; the same on every member. A grant is taken only where all that is
- * granted, may be held or lingers fits in the offer less its static part: here alone that promise is kept, whoever proposes. Bounds:
- * {@link #MOST_SERVERS} servers, {@link #MOST_ASKED} accounts a life, lives as {@link Terms} has.
+ * Who was granted what at which server, by the entries of the log; the same on every member. A grant is taken only where all that
+ * is granted, may be held or lingers fits in the offer less its static part: here alone that promise is kept, whoever proposes.
+ * Bounds: {@link #MOST_SERVERS} servers, {@link #MOST_ASKED} accounts a life, lives as {@link Terms} has.
  */
 public class Ledger implements Log.Reader {
     public static final int MOST_SERVERS = 4096;
@@ -37,7 +37,8 @@
         int granted;
         /** At least what is granted: what it may still hold of earlier grants. */
         int may;
-        /** Index of the last entry that made it less, and the log's time from which the holder surely has no more than is granted. */
+        /** Index of the last entry that made it less, and the log's time from which the holder surely has no more than is
+         * granted. */
         long shrunk;
         double free;
         /** Index of the last entry that granted. */
@@ -84,8 +85,8 @@
         this.statics = statics;
     }
 
-    /** Entry of one life: what it wants by account where that changed (0: nothing more), and what it holds beyond its static share at
-     * servers where it was granted more before, with the last index that it had read. */
+    /** Entry of one life: what it wants by account where that changed (0: nothing more), and what it holds beyond its static
+     * share at servers where it was granted more before, with the last index that it had read. */
     public static byte[] tell(Life life, double at, long seen, Map<Long, Integer> wanted, Map<Integer, Integer> held) {
         return entry(TELL, out -> {
             Pack.put(out, life);
@@ -104,8 +105,8 @@
         });
     }
 
-    /** Entry: what a server offers the fleet from now on. A later {@code start} is another server under the same address: what was
-     * granted stays granted, as a holder may open it there. */
+    /** Entry: what a server offers the fleet from now on. A later {@code start} is another server under the same address: what
+     * was granted stays granted, as a holder may open it there. */
     public static byte[] offer(String server, long start, int offer, double at) {
         return entry(OFFER, out -> {
             out.writeUTF(server);
--- a/fleet/src/main/java/tinford/fleet/budgets/MaxMin.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/MaxMin.java
@@ -3,9 +3,9 @@
 import java.util.PriorityQueue;
 
 /**
- * Whole connections divided so that the least served, by connections over weight, is served as well as can be; then the next least, and
- * so on. Each has its floor first (floors too are divided so where they don't fit) and none more than its cap. Among equals the earlier
- * one gets the odd connection. Takes n log n.
+ * Whole connections divided so that the least served, by connections over weight, is served as well as can be; then the next
+ * least, and so on. Each has its floor first (floors too are divided so where they don't fit) and none more than its cap. Among
+ * equals the earlier one gets the odd connection. Takes n log n.
  */
 public final class MaxMin {
     private MaxMin() { }
@@ -30,7 +30,8 @@
         return floors <= pool ? fill(pool, weight, least, most) : fill(Math.max(0, pool), weight, new int[n], least);
     }
 
-    /** The next connection goes to who has least over its weight; what all get up to a level below the last one is given at once. */
+    /** The next connection goes to who has least over its weight; what all get up to a level below the last one is given at
+     * once. */
     private static int[] fill(long pool, int[] weight, int[] least, int[] most) {
         int n = weight.length;
         double high = 1;
--- a/fleet/src/main/java/tinford/fleet/budgets/Proposer.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Proposer.java
@@ -7,7 +7,8 @@
 import java.util.function.LongFunction;
 import tinford.fleet.members.Life;
 
-/** What whoever leads proposes: the ledger as it knows it, divided anew. Wrong or stale proposals harm nothing, the ledger checks. */
+/** What whoever leads proposes: the ledger as it knows it, divided anew. Wrong or stale proposals harm nothing, the ledger
+ * checks. */
 public final class Proposer {
     /** An account's terms in the division, by its plan. */
     public record Plan(int weight, int floor, int cap) { }
@@ -59,8 +60,8 @@
                 may[row][s] = c.may;
                 pool[s] += c.may;
             });
-            h.uses.forEach((a, n) -> wanted.computeIfAbsent(a, k -> new TreeMap<>()).computeIfAbsent(row, k -> new int[2])[1] = n);
-            h.asked.forEach((a, n) -> wanted.computeIfAbsent(a, k -> new TreeMap<>()).computeIfAbsent(row, k -> new int[2])[0] = n);
+            h.uses.forEach((a, n) -> pair(wanted, a, row)[1] = n);
+            h.asked.forEach((a, n) -> pair(wanted, a, row)[0] = n);
         }
         List<Division.Account> accounts = new ArrayList<>();
         wanted.forEach((id, at) -> accounts.add(account(id, at)));
@@ -90,6 +91,10 @@
         return Ledger.grant(ledger.last(), now, less.subList(0, Math.min(MOST_LINES, less.size())), uses);
     }
 
+    private static int[] pair(TreeMap<Long, TreeMap<Integer, int[]>> wanted, long account, int row) {
+        return wanted.computeIfAbsent(account, k -> new TreeMap<>()).computeIfAbsent(row, k -> new int[2]);
+    }
+
     private Division.Account account(long id, Map<Integer, int[]> at) {
         Plan plan = plans.apply(id);
         int[] rows = new int[at.size()];
--- a/fleet/src/main/java/tinford/fleet/budgets/Share.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Share.java
@@ -11,8 +11,8 @@
 import tinford.fleet.members.Terms;
 
 /**
- * One gateway's own side: what it may hold and use now, by its own clock, and what it tells the log. Where its term has ended, or ends
- * within the margin, only its static share is left. Holds {@link Ledger#MOST_ASKED} accounts that want something and
+ * One gateway's own side: what it may hold and use now, by its own clock, and what it tells the log. Where its term has ended, or
+ * ends within the margin, only its static share is left. Holds {@link Ledger#MOST_ASKED} accounts that want something and
  * {@link Ledger#MOST_SERVERS} servers at most.
  */
 public class Share {
@@ -51,11 +51,12 @@
      * @param margin what is granted is let go this long before the term ends, ms
      * @param every a round comes no sooner than this after the last, ms
      * @param keep what was wanted is told on for this long, so that what comes and goes does not move grants, ms
-     * @param staticFrom from when the static share may be used: the start, where the last life of this gateway surely closed all; else
+     * @param staticFrom from when the static share may be used: the start, where the last life of this gateway surely closed all;
+     * else
      *     the linger after the start
      */
-    public Share(Ledger ledger, Statics statics, LongFunction<Proposer.Plan> plans, Life life, double length, double margin, double every,
-            double keep, double staticFrom) {
+    public Share(Ledger ledger, Statics statics, LongFunction<Proposer.Plan> plans, Life life, double length, double margin,
+            double every, double keep, double staticFrom) {
         this.ledger = ledger;
         this.statics = statics;
         this.plans = plans;
@@ -96,7 +97,8 @@
     public int mayUse(long account, double now) {
         if (holds(now)) {
             Ledger.Holder h = ledger.holders.get(life);
-            return h == null || !h.asked.containsKey(account) ? Math.max(1, ledger.uses(life, account)) : ledger.uses(life, account);
+            int least = h == null || !h.asked.containsKey(account) ? 1 : 0;
+            return Math.max(least, ledger.uses(life, account));
         }
         Want want = wants.get(account);
         return want == null ? 1 : Math.max(1, want.alone);
@@ -141,8 +143,8 @@
         return left;
     }
 
-    /** What to append to the log now: two entries at most, no sooner than {@code every} after the last ones. What is lost is told again,
-     * as it is worked out from what the ledger has. */
+    /** What to append to the log now: two entries at most, no sooner than {@code every} after the last ones. What is lost is told
+     * again, as it is worked out from what the ledger has. */
     public List<byte[]> round(double now) {
         if (now < nextRound || left) {
             return List.of();
--- a/fleet/src/main/java/tinford/fleet/budgets/Statics.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Statics.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 
 /**
- * The part of each server's offer that is never granted and belongs to gateways for good, by settings that all of them share: what a
- * gateway holds without asking anyone. Even floors; the spare ones go to those first in the server's own order of gateways (a hash of
- * server and gateway), so each is somebody's and the sum is exact. Holds one array of gateways a server.
+ * The part of each server's offer that is never granted and belongs to gateways for good, by settings that all of them share:
+ * what a gateway holds without asking anyone. Even floors; the spare ones go to those first in the server's own order of gateways
+ * (a hash of server and gateway), so each is somebody's and the sum is exact. Holds one array of gateways a server.
  */
 public final class Statics {
     private final Map<String, int[]> by = new LinkedHashMap<>();
--- a/fleet/src/main/java/tinford/fleet/members/Terms.java
+++ b/fleet/src/main/java/tinford/fleet/members/Terms.java
@@ -14,9 +14,9 @@
 import java.util.TreeMap;
 
 /**
- * Who has a term, until when, by the entries of the log; the same on every member after the same entries. A later life of a gateway ends
- * no term of an earlier one: that one may be stopped, and act when it wakes. It only renews no more. Holds {@link #MOST_LIVES} lives a
- * gateway at most, until nothing that they opened can be open.
+ * Who has a term, until when, by the entries of the log; the same on every member after the same entries. A later life of a
+ * gateway ends no term of an earlier one: that one may be stopped, and act when it wakes. It only renews no more. Holds {@link
+ * #MOST_LIVES} lives a gateway at most, until nothing that they opened can be open.
  */
 public final class Terms {
     /** Lives of one gateway that are not surely closed; a further one has no term until one of them is. */
@@ -157,7 +157,8 @@
 
     /** The lives of a gateway that are not surely closed, the earliest first. */
     public List<Life> of(int gateway) {
-        return new ArrayList<>(terms.subMap(new Life(gateway, Long.MIN_VALUE), true, new Life(gateway, Long.MAX_VALUE), true).keySet());
+        Life first = new Life(gateway, Long.MIN_VALUE);
+        return new ArrayList<>(terms.subMap(first, true, new Life(gateway, Long.MAX_VALUE), true).keySet());
     }
 
     /** Whether the life may still act: it has a term that is not surely over. Several lives of one gateway may. */
--- a/fleet/src/test/java/tinford/fleet/budgets/FairTest.java
+++ b/fleet/src/test/java/tinford/fleet/budgets/FairTest.java
@@ -99,7 +99,8 @@
             }
             assertTrue(f.worst <= 0);
         }
-        System.out.printf("exact after %.0f ms at most (stated %.0f), least use %.3f of what is due, %.2f entries a second a gateway%n",
+        System.out.printf("exact after %.0f ms at most (stated %.0f), least use %.3f of what is due, "
+            + "%.2f entries a second a gateway%n",
             slowest, DOWN, use, appended / seconds);
         assertTrue(use > 0.95, "use " + use);
     }
--- a/fleet/src/test/java/tinford/fleet/budgets/Fleet.java
+++ b/fleet/src/test/java/tinford/fleet/budgets/Fleet.java
@@ -11,7 +11,8 @@
 import tinford.fleet.members.Life;
 import tinford.fleet.members.Terms;
 
-/** A fleet in driven time: gateways with their ledgers, a log that loses, doubles and delays what is offered, servers that count. */
+/** A fleet in driven time: gateways with their ledgers, a log that loses, doubles and delays what is offered, servers that count.
+ * */
 final class Fleet {
     static final double TERM = 3000;
     static final double MARGIN = 300;
@@ -98,8 +99,8 @@
     double used;
     double couldUse;
 
-    Fleet(long seed, int size, Map<String, Integer> offers, double part, LongFunction<Proposer.Plan> plans, Function<Statics, Ledger> ledgers,
-            Make shares) {
+    Fleet(long seed, int size, Map<String, Integer> offers, double part, LongFunction<Proposer.Plan> plans,
+            Function<Statics, Ledger> ledgers, Make shares) {
         random = new Random(seed);
         this.offers.putAll(offers);
         this.plans = plans;
--- a/fleet/src/test/java/tinford/fleet/budgets/HistoriesTest.java
+++ b/fleet/src/test/java/tinford/fleet/budgets/HistoriesTest.java
@@ -31,7 +31,8 @@
         Fleet[] fleet = new Fleet[1];
         fleet[0] = new Fleet(seed, size, offers, part, PLANS, broken.isEmpty() ? null : s -> ledger(size, s, broken),
             !broken.equals("own clock ignored") ? null : (ledger, life, from) ->
-                new Share(ledger, new Statics(offers, part, size), PLANS, life, Fleet.TERM, -1e12, Fleet.EVERY, Fleet.KEEP, from));
+                new Share(ledger, new Statics(offers, part, size), PLANS, life, Fleet.TERM, -1e12,
+                     Fleet.EVERY, Fleet.KEEP, from));
         Fleet f = fleet[0];
         f.faults = true;
         for (int k = 0; k < 12; k++) {
@@ -86,7 +87,8 @@
             worst = Math.max(worst, over);
             atFull += over == 0 ? 1 : 0;
         }
-        System.out.println("never over: nearest " + -worst + " connections, " + atFull + " of 40 histories reach the whole offer");
+        System.out.println("never over: nearest " + -worst + " connections, " + atFull
+            + " of 40 histories reach the whole offer");
     }
 
     @Test
@@ -121,7 +123,8 @@
 
     private static byte[] cells(Ledger ledger) {
         StringBuilder all = new StringBuilder();
-        ledger.holders.forEach((l, h) -> h.cells.forEach((s, c) -> all.append(l).append(s).append(' ').append(c.granted).append(c.may)));
+        ledger.holders.forEach((l, h) -> h.cells.forEach((s, c) ->
+            all.append(l).append(s).append(' ').append(c.granted).append(c.may)));
         return all.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
     }
 
