--- a/fleet/src/main/java/tinford/fleet/moves/Explore.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Explore.java
@@ -28,11 +28,12 @@
         boolean grantFirst;
         boolean told;
         /** Of the frontend that is needed; the one that needs it has one more. */
-        int stages = 2;
+        int stages = 1;
         boolean needs = true;
         boolean flights;
         boolean progress;
-        int kills = 1;
+        int gateways = 3;
+        int kills = 1; // or cut off
         int halts = 1;
         int most = 20_000_000;
     }
@@ -40,7 +41,6 @@
     /** What came of it: states, and the shortest story of a broken promise, or null. */
     record Found(int states, int edges, int ends, List<String> story, String broken) { }
 
-    private static final int GATEWAYS = 3;
     private static final double LENGTH = 2;
     private static final double WINDOW = 2;
     private static final double GONE = -1e9;
@@ -55,12 +55,13 @@
     private final class World implements Members {
         double now = 10;
         Moves head;
-        final boolean[] up = new boolean[GATEWAYS];
-        final int[] start = new int[GATEWAYS];
-        final Stand[] view = new Stand[GATEWAYS];
-        final double[] seen = new double[GATEWAYS];
-        final double[] granted = new double[GATEWAYS];
-        final double[] flight = new double[GATEWAYS];
+        final boolean[] up = new boolean[c.gateways];
+        final boolean[] cut = new boolean[c.gateways]; // what it asks for doesn't get to the log
+        final int[] start = new int[c.gateways];
+        final Stand[] view = new Stand[c.gateways];
+        final double[] seen = new double[c.gateways];
+        final double[] granted = new double[c.gateways];
+        final double[] flight = new double[c.gateways];
         final List<List<Seen>> queue = new ArrayList<>();
         final List<List<Old>> old = new ArrayList<>();
         int key = -1;
@@ -72,7 +73,7 @@
         World() {
             head = new Moves(HOMES, this, c.apart, c.due);
             head.apply(1, Entry.begin("o", now, plan()).bytes());
-            for (int g = 0; g < GATEWAYS; g++) {
+            for (int g = 0; g < c.gateways; g++) {
                 up[g] = true;
                 view[g] = head.stand();
                 seen[g] = granted[g] = own(g) + LENGTH;
@@ -85,8 +86,9 @@
         World(World w) {
             now = w.now;
             head = w.head.copy(this);
-            for (int g = 0; g < GATEWAYS; g++) {
+            for (int g = 0; g < c.gateways; g++) {
                 up[g] = w.up[g];
+                cut[g] = w.cut[g];
                 start[g] = w.start[g];
                 view[g] = w.view[g];
                 seen[g] = w.seen[g];
@@ -118,7 +120,7 @@
         @Override
         public Collection<Life> mayHaveActed(double since) {
             List<Life> found = new ArrayList<>();
-            for (int g = 0; g < GATEWAYS; g++) {
+            for (int g = 0; g < c.gateways; g++) {
                 if (!new Term(life(g), granted[g], 0).surelyOver(since, c.apartCounted)) {
                     found.add(life(g));
                 }
@@ -137,6 +139,18 @@
             return r;
         }
 
+        /** One request at a time; without other entries ahead of it the grant is seen at once, as later it would only be shorter. */
+        void renew(int g) {
+            if (queue.get(g).stream().allMatch(q -> q.stand != null)) {
+                granted[g] = own(g) + LENGTH;
+                if (queue.get(g).isEmpty() && !c.countsFromAnswer) {
+                    seen[g] = granted[g];
+                } else {
+                    queue.get(g).add(new Seen(null, granted[g]));
+                }
+            }
+        }
+
         /** Applies an entry, lets the gateways have it coming, and looks at what became of the position. */
         void entry(Entry e) {
             Stand was = head.stand();
@@ -152,7 +166,7 @@
                 } else if (was.state() == Moves.State.HALTED) {
                     broken = "moves while halted";
                 }
-                for (int g = 0; g < GATEWAYS; g++) {
+                for (int g = 0; g < c.gateways; g++) {
                     queue.get(g).add(new Seen(is, 0));
                 }
             } else if (e.kind() == Entry.Kind.RESUME && e.turn() != halts && was.state() != is.state()) {
@@ -162,7 +176,7 @@
 
         /** Brings to one form what can make no difference. */
         void tidy() {
-            for (int g = 0; g < GATEWAYS; g++) {
+            for (int g = 0; g < c.gateways; g++) {
                 List<Seen> q = queue.get(g);
                 boolean acts = own(g) < seen[g];
                 for (int i = q.size() - 2; i >= 0 && !acts; i--) {
@@ -191,7 +205,7 @@
             boolean lacks = false;
             int least = 99;
             int most = -1;
-            for (int g = 0; g < GATEWAYS; g++) {
+            for (int g = 0; g < c.gateways; g++) {
                 Route r = route(g);
                 if (up[g] && r.mayAct(own(g))) {
                     least = Math.min(least, view[g].position());
@@ -208,6 +222,9 @@
         }
 
         String form() {
+            if (c.gateways == 2) {
+                return form(0, 1);
+            }
             String one = form(0, 1, 2);
             String two = form(0, 2, 1);
             return one.compareTo(two) < 0 ? one : two;
@@ -222,7 +239,7 @@
             wait = Math.max(wait, is.back() ? 0 : c.due.waits(is.plan(), is.position(), false));
             s.append((char) (1 + key)).append((char) (key < 0 ? 0 : now - ran));
             for (int g : order) {
-                s.append(up[g] ? 'u' : 'd').append((char) view[g].position()).append(view[g].turn() == is.turn() ? '=' : '<');
+                s.append(!up[g] ? 'd' : cut[g] ? 'c' : 'u').append((char) view[g].position()).append(view[g].turn() == is.turn() ? '=' : '<');
                 time(s, seen[g] - own(g), 0, 9);
                 time(s, granted[g] - now, -WINDOW - c.apart, 9);
                 time(s, flight[g] == GONE ? -9 : flight[g] - now, -5, 0);
@@ -281,7 +298,7 @@
         next(new World(), "begun", false);
         for (at = 0; !open.isEmpty() && broken == null && known.size() < c.most; at++) {
             expand(open.poll());
-            if (c.progress && at % 500_000 == 0) {
+            if (c.progress && at % 100_000 == 0) {
                 System.out.println(at + " of " + known.size());
             }
         }
@@ -339,8 +356,13 @@
     private void expand(World w) {
         World n = new World(w);
         n.now++;
+        for (int g = 0; g < c.gateways; g++) {
+            if (n.up[g] && !n.cut[g] && n.granted[g] != GONE) {
+                n.renew(g);
+            }
+        }
         next(n, "a tick", true);
-        for (int g = 0; g < GATEWAYS; g++) {
+        for (int g = 0; g < c.gateways; g++) {
             if (w.up[g]) {
                 gateway(w, g);
             }
@@ -390,7 +412,7 @@
         }
         Route r = w.route(g);
         boolean acts = r.mayAct(w.own(g));
-        if (acts && w.own(g) < w.seen[g] && !w.head.acked(w.life(g)) && (!c.flights || w.flight[g] == GONE)) {
+        if (acts && !w.cut[g] && w.own(g) < w.seen[g] && !w.head.acked(w.life(g)) && (!c.flights || w.flight[g] == GONE)) {
             World n = new World(w);
             if (c.flights) {
                 n.flight[g] = n.own(g);
@@ -405,15 +427,16 @@
             n.flight[g] = GONE;
             next(n, "the ack of gateway " + g + " is in the log", true);
         }
-        if (w.own(g) + 1 >= w.granted[g] && w.queue.get(g).stream().allMatch(q -> q.stand != null)) { // in its last tick, or after it
+        if (w.granted[g] == GONE && !w.cut[g]) {
             World n = new World(w);
-            n.granted[g] = n.own(g) + LENGTH;
-            if (n.queue.get(g).isEmpty() && !c.countsFromAnswer) {
-                n.seen[g] = n.granted[g]; // seen later it would only be shorter
-            } else {
-                n.queue.get(g).add(new Seen(null, n.granted[g]));
-            }
-            next(n, "gateway " + g + " is granted a term", true);
+            n.renew(g);
+            next(n, "gateway " + g + " is granted its first term", true);
+        }
+        if (w.cut[g]) {
+            World n = new World(w);
+            n.cut[g] = false;
+            n.renew(g);
+            next(n, "gateway " + g + " is heard again", true);
         }
         boolean again = w.key >= 0;
         for (int to = 0; acts && to < 2 && w.view[g].position() >= c.stages; to++) { // before, all go to the old group
@@ -436,7 +459,14 @@
             n.up[g] = false;
             n.kills++;
             n.flight[g] = GONE;
+            n.cut[g] = false;
             next(n, "gateway " + g + " is killed", false);
+            if (!w.cut[g]) {
+                n = new World(w);
+                n.cut[g] = true;
+                n.kills++;
+                next(n, "gateway " + g + " is cut off", false);
+            }
         }
         for (int disk = 0; !w.up[g] && disk < 2; disk++) {
             World n = new World(w);
@@ -494,6 +524,8 @@
             Case c = new Case();
             c.told = told;
             c.progress = true;
+            c.gateways = args.length > 4 ? Integer.parseInt(args[4]) : 3;
+            c.stages = args.length > 3 ? Integer.parseInt(args[3]) : 2;
             c.kills = args.length > 0 ? Integer.parseInt(args[0]) : 2;
             c.halts = args.length > 1 ? Integer.parseInt(args[1]) : 2;
             c.flights = args.length > 2 && Boolean.parseBoolean(args[2]);
