Fleet: the log's state on the I/O thread, budgets seen by decisions and routing

An account's key carries its plan's weight, so that whoever leads divides by it. A lock in the log's folder tells a new life that the one before is dead, so that it holds its static share at once. Builds; not played with processes yet.

--- a/fleet/src/main/java/tinford/fleet/budgets/Statics.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Statics.java
@@ -12,8 +12,11 @@
  * (a hash of server and gateway), so each is somebody's and the sum is exact. Holds one array of gateways a server.
  */
 public final class Statics {
+    private static final int MOST_UNNAMED = Ledger.MOST_SERVERS;
     private final Map<String, int[]> by = new LinkedHashMap<>();
     private final Map<String, Integer> sums = new LinkedHashMap<>();
+    private final int unnamed;
+    private final double part;
     private final int gateways;
 
     /**
@@ -21,33 +24,47 @@
      * @param part of an offer that is static, 0 to 1
      */
     public Statics(Map<String, Integer> offers, double part, int gateways) {
+        this(offers, 0, part, gateways);
+    }
+
+    /** @param unnamed what each server offers that the settings do not name */
+    public Statics(Map<String, Integer> offers, int unnamed, double part, int gateways) {
+        this.unnamed = unnamed;
+        this.part = part;
         this.gateways = gateways;
-        for (Map.Entry<String, Integer> e : offers.entrySet()) {
-            int sum = (int) Math.floor(Math.max(0, e.getValue()) * Math.max(0, Math.min(1, part)) + 1e-9);
-            int[] each = new int[gateways];
-            List<Integer> order = new ArrayList<>();
-            for (int g = 0; g < gateways; g++) {
-                each[g] = sum / gateways;
-                order.add(g);
-            }
-            order.sort(Comparator.<Integer>comparingLong(g -> hash(e.getKey(), g)).thenComparing(g -> g));
-            for (int i = 0; i < sum % gateways; i++) {
-                each[order.get(i)]++;
-            }
-            by.put(e.getKey(), each);
-            sums.put(e.getKey(), sum);
+        offers.forEach(this::divide);
+    }
+
+    private int[] divide(String server, int offer) {
+        int sum = (int) Math.floor(Math.max(0, offer) * Math.max(0, Math.min(1, part)) + 1e-9);
+        int[] each = new int[gateways];
+        List<Integer> order = new ArrayList<>();
+        for (int g = 0; g < gateways; g++) {
+            each[g] = sum / gateways;
+            order.add(g);
+        }
+        order.sort(Comparator.<Integer>comparingLong(g -> hash(server, g)).thenComparing(g -> g));
+        for (int i = 0; i < sum % gateways; i++) {
+            each[order.get(i)]++;
+        }
+        if (by.size() < MOST_UNNAMED) {
+            by.put(server, each);
+            sums.put(server, sum);
         }
+        return each;
     }
 
-    /** 0 for a server that the settings do not name. */
+    /** A server that the settings do not name has what each such one offers. */
     public int of(String server, int gateway) {
         int[] each = by.get(server);
-        return each == null || gateway < 0 || gateway >= gateways ? 0 : each[gateway];
+        each = each == null ? divide(server, unnamed) : each;
+        return gateway < 0 || gateway >= gateways ? 0 : each[gateway];
     }
 
     /** All gateways' together. */
     public int sum(String server) {
-        return sums.getOrDefault(server, 0);
+        Integer sum = sums.get(server);
+        return sum != null ? sum : java.util.Arrays.stream(divide(server, unnamed)).sum();
     }
 
     private static long hash(String server, int gateway) {
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/run/Agreed.java
@@ -0,0 +1,80 @@
+package tinford.fleet.run;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import tinford.fleet.budgets.Ledger;
+import tinford.fleet.budgets.Statics;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Term;
+import tinford.fleet.members.Terms;
+import tinford.fleet.moves.Entry;
+import tinford.fleet.moves.Moves;
+import tinford.fleet.store.Log;
+
+/**
+ * What the log's entries have come to: terms and budgets, and moves, each taking its own entries. A process has it twice: on the log's
+ * thread for snapshots, and on the I/O thread, where it is acted on; both see the same entries in the same order.
+ */
+final class Agreed implements Log.Reader {
+    final Terms terms;
+    final Ledger ledger;
+    final Moves moves;
+
+    /** @param homes the group of each frontend that may move */
+    Agreed(int gateways, double term, double apart, double linger, Statics statics, Map<String, String> homes) {
+        terms = new Terms(gateways, term, apart, linger);
+        ledger = new Ledger(terms, statics);
+        moves = new Moves(homes, since -> {
+            java.util.ArrayList<Life> lives = new java.util.ArrayList<>();
+            for (int g = 0; g < gateways; g++) {
+                for (Life life : terms.of(g)) {
+                    Term t = terms.of(life);
+                    if (t != null && !t.surelyOver(since, apart)) {
+                        lives.add(life);
+                    }
+                }
+            }
+            return lives;
+        }, apart);
+    }
+
+    @Override
+    public void apply(long index, byte[] entry) {
+        if (entry.length > 0 && entry[0] == Entry.MARK) {
+            moves.apply(index, entry);
+        } else {
+            ledger.apply(index, entry);
+        }
+    }
+
+    @Override
+    public byte[] snapshot() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            DataOutputStream out = new DataOutputStream(bytes);
+            for (byte[] part : new byte[][] {ledger.snapshot(), moves.snapshot()}) {
+                out.writeInt(part.length);
+                out.write(part);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    @Override
+    public void restore(long index, byte[] snapshot) {
+        try {
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(snapshot));
+            ledger.restore(index, in.readNBytes(in.readInt()));
+            moves.restore(index, in.readNBytes(in.readInt()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
 import tinford.api.Place;
@@ -33,6 +34,8 @@
     private Talk talk;
     private Overload overload;
     private FleetView view;
+    private Hard hard; // null where nothing needs agreement
+    private boolean led;
     private int seq;
     private double last;
     private int living = -1;
@@ -61,8 +64,11 @@
         members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect, new Random(handed.seed()));
         overload = new Overload(now, life, orders.number("overload.window_ms"), orders.number("overload.further_part"),
                 new Random(handed.seed() + 1));
-        view = new FleetView(orders.on("overload.on") ? overload : null);
         try {
+            if (orders.on("budgets.on") || orders.on("moves.on")) {
+                hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways), Map.of(), mailbox);
+            }
+            view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now);
             history = History.at(historyPath, life);
             if (handed.mayTalk()) {
                 talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
@@ -84,6 +90,9 @@
             members.round(now, talk);
         }
         overload.round(now, members);
+        if (hard != null) {
+            hard.tick(now);
+        }
         tell(now);
     }
 
@@ -94,6 +103,10 @@
             LOG.log(Level.INFO, "of the fleet live " + members.all());
             history.add(now, "living", "who", members.all());
         }
+        if (hard != null && hard.leads() != led) {
+            led = hard.leads();
+            history.add(now, "leads", "on", led);
+        }
         if (overload.threshold() > 0 != strained) {
             strained = !strained;
             LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
@@ -110,5 +123,8 @@
     @Override
     public void leaves() {
         history.add(now(), "leaves");
+        if (hard != null) {
+            hard.leaves();
+        }
     }
 }
--- a/fleet/src/main/java/tinford/fleet/run/FleetView.java
+++ b/fleet/src/main/java/tinford/fleet/run/FleetView.java
@@ -1,5 +1,9 @@
 package tinford.fleet.run;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import tinford.api.Customer;
 import tinford.api.End;
 import tinford.api.Req;
 import tinford.api.Srv;
@@ -7,11 +11,61 @@
 
 /** The view that the decisions see, of those parts of the fleet that are on; what is off bounds nothing. */
 final class FleetView extends View {
+    private static final int MOST_ACCOUNTS = 20_000;
     private final View overload;
+    private final Hard budgets;
+    private final DoubleSupplier clock;
+    private final Map<Long, Integer> out = new HashMap<>(); // dispatches, by account
 
-    /** @param overload null where it is off */
-    FleetView(View overload) {
+    /** @param overload null where it is off; {@code budgets} likewise */
+    FleetView(View overload, Hard budgets, DoubleSupplier clock) {
         this.overload = overload == null ? new View() : overload;
+        this.budgets = budgets;
+        this.clock = clock;
+    }
+
+    @Override
+    public int mayHold(Srv srv) {
+        return budgets == null ? Integer.MAX_VALUE : budgets.mayHold(srv, clock.getAsDouble());
+    }
+
+    @Override
+    public int mayUse(Customer customer) {
+        return budgets == null ? Integer.MAX_VALUE : budgets.mayUse(Hard.key(customer), clock.getAsDouble());
+    }
+
+    @Override
+    public void lacked(Req req) {
+        if (budgets != null) {
+            long account = Hard.key(req.customer);
+            budgets.wanted(account, out.getOrDefault(account, 0) + 1);
+        }
+    }
+
+    @Override
+    public void opened(Srv srv) {
+        if (budgets != null) {
+            budgets.opened(srv);
+        }
+    }
+
+    @Override
+    public void closed(Srv srv) {
+        if (budgets != null) {
+            budgets.closed(srv);
+        }
+    }
+
+    private void count(Req req, int more) {
+        if (budgets == null) {
+            return;
+        }
+        long account = Hard.key(req.customer);
+        if (more > 0 && out.size() < MOST_ACCOUNTS) {
+            budgets.wanted(account, out.merge(account, more, Integer::sum));
+        } else if (more < 0) {
+            out.computeIfPresent(account, (k, n) -> n > 1 ? n - 1 : null);
+        }
     }
 
     @Override
@@ -46,11 +100,13 @@
 
     @Override
     public void sent(Req req, Srv srv, double worth, boolean further) {
+        count(req, 1);
         overload.sent(req, srv, worth, further);
     }
 
     @Override
     public void ended(Req req, Srv srv, End how, boolean late) {
+        count(req, -1);
         overload.ended(req, srv, how, late);
     }
 
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -0,0 +1,176 @@
+package tinford.fleet.run;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import tinford.api.Srv;
+import tinford.fleet.budgets.Ledger;
+import tinford.fleet.budgets.Proposer;
+import tinford.fleet.budgets.Share;
+import tinford.fleet.budgets.Statics;
+import tinford.fleet.members.Life;
+import tinford.fleet.store.Log;
+import tinford.fleet.store.RaftLog;
+import tinford.routing.Addresses;
+
+/** The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then on. */
+final class Hard {
+    private static final System.Logger LOG = System.getLogger("tinford.fleet");
+    private static final double ROUND = 250; // entries of a gateway come no faster than two in this time
+    private static final double KEEP = 2000; // what was wanted lately is wanted still
+    private static final int MOST_SERVERS = 1024;
+    private static final int OFFERS_A_TICK = 16;
+    private static final RaftLog.Bounds BOUNDS = new RaftLog.Bounds(2000, 256, 64 << 10, 5000, 400);
+    /** A key of an account holds its plan's weight above the customer's own 33 bits, so that every gateway divides by it. */
+    private static final int WEIGHT_AT = 40;
+    final Agreed agreed;
+    private final Share share;
+    private final Proposer proposer;
+    private final int offer;
+    private final Map<String, Srv> servers = new LinkedHashMap<>();
+    private volatile Log log;
+    private boolean led;
+
+    Hard(Orders orders, Life life, int gateways, Statics statics, Map<String, String> homes, Mailbox mailbox) throws IOException {
+        double term = orders.number("log.term_ms");
+        double apart = orders.number("log.clocks_apart_ms");
+        double linger = orders.number("log.linger_ms");
+        offer = (int) orders.number("budgets.offer");
+        agreed = new Agreed(gateways, term, apart, linger, statics, homes);
+        int floor = (int) orders.number("budgets.floor");
+        int cap = (int) orders.number("budgets.cap");
+        proposer = new Proposer(key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), ROUND);
+        Path folder = Files.createDirectories(Path.of(orders.text("log.folder")));
+        boolean alone = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock() != null;
+        share = new Share(agreed.ledger, statics, key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), life, term, 2 * apart, ROUND,
+                KEEP, alone ? life.start() : life.start() + linger);
+        Agreed kept = new Agreed(gateways, term, apart, linger, statics(orders, gateways), homes);
+        TreeMap<Integer, InetSocketAddress> members = new TreeMap<>();
+        List<String> addresses = orders.texts("log.members");
+        for (int i = 0; i < addresses.size(); i++) {
+            members.put(i, Addresses.of(addresses.get(i)));
+        }
+        Thread starts = new Thread(() -> {
+            try {
+                log = new RaftLog(life.gateway(), members, folder.resolve("log"), reader(kept, mailbox), BOUNDS);
+            } catch (IOException | RuntimeException e) {
+                LOG.log(Level.ERROR, "no part in the fleet's log, so only the static share is held: " + e);
+            }
+        }, "log start");
+        starts.setDaemon(true);
+        starts.start();
+    }
+
+    static Statics statics(Orders orders, int gateways) {
+        return new Statics(Map.of(), (int) orders.number("budgets.offer"), orders.number("budgets.static_part"), gateways);
+    }
+
+    /** The kept one answers for snapshots; the I/O thread's follows it, and holds it back where it can't. */
+    private Log.Reader reader(Agreed kept, Mailbox mailbox) {
+        return new Log.Reader() {
+            @Override
+            public void apply(long index, byte[] entry) {
+                kept.apply(index, entry);
+                post(() -> agreed.apply(index, entry));
+            }
+
+            @Override
+            public byte[] snapshot() {
+                return kept.snapshot();
+            }
+
+            @Override
+            public void restore(long index, byte[] snapshot) {
+                kept.restore(index, snapshot);
+                post(() -> agreed.restore(index, snapshot));
+            }
+
+            private void post(Runnable what) {
+                try {
+                    mailbox.hard(what);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        };
+    }
+
+    /** Offers an entry; what is lost is offered again by whoever wants it, from what the log has come to. */
+    void append(byte[] entry) {
+        Log to = log;
+        if (to != null) {
+            to.append(entry);
+        }
+    }
+
+    void tick(double now) {
+        for (byte[] entry : share.round(now)) {
+            append(entry);
+        }
+        boolean leads = log != null && log.leads();
+        if (leads != led) {
+            led = leads;
+            LOG.log(Level.INFO, leads ? "leads the fleet's log" : "leads the fleet's log no more");
+        }
+        if (!leads) {
+            return;
+        }
+        int told = 0;
+        for (Srv s : servers.values()) {
+            if (agreed.ledger.number(s.id) < 0 && told++ < OFFERS_A_TICK) {
+                append(Ledger.offer(s.id, (long) s.born, offer, now));
+            }
+        }
+        byte[] grant = proposer.propose(agreed.ledger, now);
+        if (grant != null) {
+            append(grant);
+        }
+    }
+
+    boolean leads() {
+        return led;
+    }
+
+    int mayHold(Srv srv, double now) {
+        if (servers.size() < MOST_SERVERS) {
+            servers.putIfAbsent(srv.id, srv);
+        }
+        return share.mayHold(srv.id, now);
+    }
+
+    static long key(tinford.api.Customer c) {
+        return Math.max(1, Math.min(1000, Math.round(10 * c.plan.price))) << WEIGHT_AT | c.id;
+    }
+
+    int mayUse(long account, double now) {
+        return share.mayUse(account, now);
+    }
+
+    void wanted(long account, int dispatches) {
+        share.wanted(account, dispatches);
+    }
+
+    void opened(Srv srv) {
+        share.opened(srv.id);
+    }
+
+    void closed(Srv srv) {
+        share.closed(srv.id);
+    }
+
+    void leaves() {
+        share.leaves();
+    }
+
+    boolean left() {
+        return share.left();
+    }
+}
