--- a/fleet/src/main/java/tinford/fleet/overload/Further.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Further.java
@@ -8,15 +8,16 @@
 import tinford.fleet.members.Sight;
 
 /**
- * One budget of further dispatches for the fleet, kept as accounts: first dispatches feed the own one, further ones draw on it, and what
- * overflows is given to a gateway that saw failures, by a running total in the giver's record. A receiver takes what that total rose by
- * since it last took, so a record that is lost, doubled or old moves nothing twice: all together never send more than the part of first
- * dispatches, whatever each has heard. Without talk each lives on its own even slice. A lying giver makes at most what {@link #credit}
- * lets through: twice a middling gateway's part. Memory: two figures a gateway heard of, {@link #MOST_PEERS} at most.
+ * One budget of further dispatches for the fleet, kept as accounts: first dispatches feed the own one, further ones draw on
+ * it, and what overflows is given to a gateway that saw failures, by a running total in the giver's record. A receiver takes
+ * what that total rose by since it last took, so a record that is lost, doubled or old moves nothing twice: all together never
+ * send more than the part of first dispatches, whatever each has heard. Without talk each lives on its own even slice. A lying
+ * giver makes at most twice a middling gateway's part. Memory: two figures a gateway heard of, {@link #MOST_PEERS} at most.
  */
 public final class Further {
     private static final int MOST_PEERS = 1024;
-    private static final double AT_ONCE = 40, LEAST_AT_ONCE = 2; // saved up by the whole fleet; by one: many pots of ten would be a flood
+    // saved up by the whole fleet; by one: many pots of ten would be a flood
+    private static final double AT_ONCE = 40, LEAST_AT_ONCE = 2;
     private static final int MOST_FREE = 100; // not used by then, it is forgotten
     private static final double CHOSEN_MS = 500; // one receiver for so long: its records must get there
 
--- a/fleet/src/main/java/tinford/fleet/overload/Line.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Line.java
@@ -4,10 +4,11 @@
 import tinford.fleet.members.Sight;
 
 /**
- * The worth a unit below which nothing is passed while the servers bear less than is asked for: every gateway works it out from the same
- * records. What the servers bear is what they answer in time while strained; it is told to the others, and a middle value of what all
- * believe is kept to, so that gateways that join, or that heard a little less, end at the same line. Without strain it grows, slowly at
- * first and then ever faster, until there is no line: whoever still asks, a line is gone within two windows after its cause.
+ * The worth a unit below which nothing is passed while the servers bear less than is asked for: every gateway works it out
+ * from the same records. What the servers bear is what they answer in time while strained; it is told to the others, and a
+ * middle value of what all believe is kept to, so that gateways that join, or that heard a little less, end at the same line.
+ * Without strain it grows, slowly at first and then ever faster, until there is no line: whoever still asks, a line is gone
+ * within two windows after its cause.
  */
 public final class Line {
     private static final double NONE = Double.POSITIVE_INFINITY;
@@ -60,7 +61,8 @@
         if (strained) {
             strainedAt = now;
             double towards = Math.min(all.demand, all.goodUnits);
-            bears = bears == NONE ? Math.max(towards, all.demand / 2) : bears + (towards - bears) * Math.min(1, passed / SETTLE_MS);
+            bears = bears == NONE ? Math.max(towards, all.demand / 2)
+                    : bears + (towards - bears) * Math.min(1, passed / SETTLE_MS);
         } else if (bears != NONE) {
             double calm = now - strainedAt, before = Math.max(0, calm - passed);
             bears = Math.max(bears, all.demand / 64) * Math.pow(2, (calm * calm - before * before) / (window * window));
@@ -73,7 +75,8 @@
     }
 
     private void agree(Known known, double passed) {
-        double[] told = known.fresh().stream().mapToDouble(s -> Totals.clean(s.bears)).map(b -> b > 0 ? b : NONE).sorted().toArray();
+        double[] told = known.fresh().stream().mapToDouble(s -> Totals.clean(s.bears))
+                .map(b -> b > 0 ? b : NONE).sorted().toArray();
         double middle = told[told.length / 2];
         if (middle != NONE && bears == NONE) {
             // a gateway that joins; but a line that just went does not come back by records of before
--- a/fleet/src/main/java/tinford/fleet/overload/Own.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Own.java
@@ -90,7 +90,10 @@
         return s;
     }
 
-    /** Time that the buckets cover: a part of the one that runs, and never less than one, or a first req would look like a flood. */
+    /**
+     * Time that the buckets cover: a part of the one that runs, and never less than one, or a first req would look like a
+     * flood.
+     */
     private double span() {
         double covered = Math.min(now - startedAt, (BUCKETS - 1) * BUCKET_MS + now - turn * BUCKET_MS);
         return Math.max(BUCKET_MS, turn == startedTurn ? BUCKET_MS : covered);
--- a/fleet/src/main/java/tinford/fleet/overload/Owners.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Owners.java
@@ -11,16 +11,18 @@
 import tinford.fleet.members.Sight;
 
 /**
- * Who finds out how a server does that was put aside: the one that rendezvous hashing draws among those that live, so that the tries at it do
- * not grow with the gateways. The others leave it alone until it is told well, or until its owner has said nothing for {@link #PATIENCE_MS};
- * then they look by chance, all together ever more rarely but never less than every {@link #RAREST_MS}. What one alone says of a server
- * that works here counts for nothing; two must say so. A server told well that is not costs a try a gateway, each time after twice the wait.
- * Memory: one note for each of {@link #MOST} servers at most, dropped {@link #FORGET_MS} after they were last told of.
+ * Who finds out how a server does that was put aside: the one that rendezvous hashing draws among those that live, so that the
+ * tries at it do not grow with the gateways. The others leave it alone until it is told well, or until its owner has said
+ * nothing for {@link #PATIENCE_MS}; then they look by chance, all together ever more rarely but never less than every {@link
+ * #RAREST_MS}. What one alone says of a server that works here counts for nothing; two must say so. A server told well that is
+ * not costs a try a gateway, each time after twice the wait. Memory: one note for each of {@link #MOST} servers at most,
+ * dropped {@link #FORGET_MS} after they were last told of.
  */
 public final class Owners {
     private static final int MOST = 2048;
     private static final double PATIENCE_MS = 6000; // the decisions' longest bar of 4 s, and the time that records take
-    private static final double SOON_MS = 4000; // all that are not the owner together, at first; then half of the time since it was put aside
+    // all that are not the owner together, at first; then half of the time since it was put aside
+    private static final double SOON_MS = 4000;
     private static final double RAREST_MS = 30_000;
     private static final double RETURN_MS = 300; // those who return to a server told well spread over so long
     private static final double TRUSTED_MS = 2000; // own good news that outweigh what others say
@@ -122,11 +124,15 @@
         if (n != null && n.waited >= n.due) draw(n, n.since);
     }
 
-    /** Whether this gateway may send to it: well as far as known, told well again, its own to look after, or due for a rare look. */
+    /**
+     * Whether this gateway may send to it: well as far as known, told well again, its own to look after, or due for a rare
+     * look.
+     */
     public boolean looksAfter(Srv srv) {
         Note n = notes.get(nameOf(srv));
         if (n == null || known == null || known.living() <= 1) return true;
-        boolean leave = n.ill ? !(n.wellAt > n.foundAt && now >= n.backAt) : (n.toldIll || now < n.backAt) && now - n.foundAt > TRUSTED_MS;
+        boolean leave = n.ill ? !(n.wellAt > n.foundAt && now >= n.backAt) 
+                : (n.toldIll || now < n.backAt) && now - n.foundAt > TRUSTED_MS;
         if (!leave || ownerOf(n) == own.gateway()) return true;
         return n.waited >= n.due;
     }
--- a/fleet/src/main/java/tinford/fleet/overload/Trial.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Trial.java
@@ -22,15 +22,20 @@
 import tinford.fleet.members.Sight;
 
 /**
- * A simulated strain in virtual time: half of the servers are lost for {@link #LOST_MS}, clients of what is denied or fails come back. The
- * gateways here are simpler than the decisions (learned limit, line by worth, servers put aside), and what is compared is the view alone.
+ * A simulated strain in virtual time: half of the servers are lost for {@link #LOST_MS}, clients of what is denied or fails
+ * come back. The gateways here are simpler than the decisions (learned limit, line by worth, servers put aside), and what is
+ * compared is the view alone.
  */
 public final class Trial {
     /** Alone: no view. Talk: records of 100 to 500 ms of age, one in ten lost. Cut: none heard. */
     public enum Mode { ALONE, TALK, CUT }
 
-    /** @param worth passed over worth asked first, while strained; @param best what one that sees all could pass at most; @param apart deviation between gateways of what worthy reqs lose */
-    public record Result(double worth, double best, double dispatches, double tries, double apart, double recovery, double wholeWorth) { }
+    /**
+     * @param worth passed over worth asked first, while strained; @param best what one that sees all could pass at most;
+     * @param apart deviation between gateways of what worthy reqs lose
+     */
+    public record Result(double worth, double best, double dispatches, double tries, double apart,
+            double recovery, double wholeWorth) { }
 
     private static final int SERVERS = 20;
     private static final double STEP = 10, SERVES = 0.15, TARGET = 500, STARTS = 8000, LOST_MS = 10_000, ENDS = 32_000, BASE = 30;
@@ -42,7 +47,8 @@
     private final double window;
     private final List<Server> servers = new ArrayList<>();
     private final List<Gate> gates = new ArrayList<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>(Comparator.comparingDouble((Due d) -> d.at).thenComparingLong(d -> d.no));
+    private final PriorityQueue<Due> dues = new PriorityQueue<>(
+            Comparator.comparingDouble((Due d) -> d.at).thenComparingLong(d -> d.no));
     private double now;
     private long made;
     private double asked, worth, allAsked, allWorth, first, sent, tries;
@@ -92,7 +98,8 @@
         final View view;
         final Map<Integer, Sight> heard = new LinkedHashMap<>();
         final Map<Server, Node> nodes = new LinkedHashMap<>();
-        final TreeSet<Job> line = new TreeSet<>((a, b) -> a.worth == b.worth ? Long.compare(a.req.id, b.req.id) : Double.compare(b.worth, a.worth));
+        final TreeSet<Job> line = new TreeSet<>((a, b) -> a.worth == b.worth
+                ? Long.compare(a.req.id, b.req.id) : Double.compare(b.worth, a.worth));
         double limit, mean = 60, spare, worthyAsked, worthyPassed;
         int out;
         private List<Sight> fresh;
@@ -117,7 +124,8 @@
             }
             if (seq % 20 == 0) {
                 double floor = 2.5 * SERVERS / gates.size();
-                if (mean > 0.4 * TARGET) limit = Math.max(floor, limit * 0.9); else if (out >= 0.7 * limit) limit = limit * 1.01 + floor / 50;
+                if (mean > 0.4 * TARGET) limit = Math.max(floor, limit * 0.9);
+                else if (out >= 0.7 * limit) limit = limit * 1.01 + floor / 50;
             }
             for (Job j : new ArrayList<>(line)) {
                 if (now - j.askedAt > reach()) {
@@ -141,7 +149,8 @@
         /** Each record gets to a few at once and to all within half a second; one in ten is lost. */
         private void tell(Sight s) {
             for (Gate g : gates) {
-                if (g == this || chance.nextDouble() < 0.1 || gates.size() > 60 && chance.nextDouble() > 60.0 / gates.size()) continue;
+                if (g == this || chance.nextDouble() < 0.1
+                        || gates.size() > 60 && chance.nextDouble() > 60.0 / gates.size()) continue;
                 later(100 + 400 * chance.nextDouble(), () -> {
                     if (s.newer(g.heard.get(number))) g.heard.put(number, s);
                 });
@@ -287,7 +296,8 @@
             numbers.add(g);
         }
         List<Frontend> kinds = new ArrayList<>();
-        for (double v : VALUES) kinds.add(new Frontend("f" + v, TARGET, 2 * TARGET, v, 0, Effect.REPLAYABLE, Group.ALL, 0, false));
+        for (double v : VALUES) kinds.add(new Frontend("f" + v,
+                TARGET, 2 * TARGET, v, 0, Effect.REPLAYABLE, Group.ALL, 0, false));
         Customer customer = new Customer(1, new Plan("p", 0, 0, 0, 1, 1, 0, 0, 0, 0), 1, 0);
         double rate = 0.8 * SERVERS * SERVES / 2.5; // reqs a ms, of 1 to 4 units
         int seq = 0;
@@ -302,7 +312,9 @@
         double mean = 0, square = 0;
         for (double l : lost) mean += l / lost.length;
         for (double l : lost) square += (l - mean) * (l - mean) / lost.length;
-        return new Result(worth / asked, best() / asked, sent / first, tries / (LOST_MS - 3000) * 1000 / (SERVERS / 2), Math.sqrt(square), recovery(), allWorth / allAsked);
+        return new Result(worth / asked, best() / asked, sent / first,
+                tries / (LOST_MS - 3000) * 1000 / (SERVERS / 2), Math.sqrt(square), recovery(),
+                allWorth / allAsked);
     }
 
     private void ask(List<Frontend> kinds, Customer customer) {
@@ -338,7 +350,8 @@
         for (int b = 4; b < from; b++) before += passedBy[b] / askedBy[b] / (from - 4);
         int back = (int) ((STARTS + LOST_MS) / 500);
         for (int b = back; b + 1 < passedBy.length; b++) {
-            if (passedBy[b] / askedBy[b] > before - 0.03 && passedBy[b + 1] / askedBy[b + 1] > before - 0.03) return (b - back) * 500;
+            if (passedBy[b] / askedBy[b] > before - 0.03
+                    && passedBy[b + 1] / askedBy[b + 1] > before - 0.03) return (b - back) * 500;
         }
         return ENDS - STARTS - LOST_MS;
     }
@@ -346,14 +359,18 @@
     /** Prints one table: means over seeds, and half of a 95% interval. Arguments: seeds, then numbers of gateways. */
     public static void main(String[] args) {
         int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 5;
-        int[] sizes = args.length > 1 ? java.util.Arrays.stream(args).skip(1).mapToInt(Integer::parseInt).toArray() : new int[] {5, 14, 100, 400};
-        System.out.println("| gateways | mode | worth while strained | all-seeing | dispatches a req | tries a second at an ill server | apart | as before, ms | worth, whole |");
+        int[] sizes = args.length > 1 
+                ? java.util.Arrays.stream(args).skip(1).mapToInt(Integer::parseInt).toArray() : new int[] {5, 14, 100, 400};
+        System.out.println("| gateways | mode | worth while strained | all-seeing "
+                + "| dispatches a req | tries a second at an ill server "
+                + "| apart | as before, ms | worth, whole |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (int n : sizes) {
             for (Mode mode : Mode.values()) {
                 List<Result> all = new ArrayList<>();
                 for (int s = 0; s < seeds; s++) all.add(new Trial(100 + s, n, mode, 4000).run());
-                System.out.printf("| %d | %s | %s | %s | %s | %s | %s | %s | %s |%n", n, mode.name().toLowerCase(), interval(all, Result::worth, 3), interval(all, Result::best, 3),
+                System.out.printf("| %d | %s | %s | %s | %s | %s | %s | %s | %s |%n", n, mode.name().toLowerCase(),
+                        interval(all, Result::worth, 3), interval(all, Result::best, 3),
                         interval(all, Result::dispatches, 3), interval(all, Result::tries, 2), interval(all, Result::apart, 3),
                         interval(all, Result::recovery, 0), interval(all, Result::wholeWorth, 3));
             }
