--- a/fleet/src/test/java/tinford/fleet/moves/ExploreTest.java
+++ b/fleet/src/test/java/tinford/fleet/moves/ExploreTest.java
@@ -120,7 +120,10 @@
                 })},
             {"a term counted from the answer", "", (Consumer<Explore.Case>) c -> c.countsFromAnswer = true},
             {"a grant acted on before what came ahead of it", "", (Consumer<Explore.Case>) c -> c.grantFirst = true},
-            {"what is needed left out of the order", "what it needs", (Consumer<Explore.Case>) c -> c.needs = false},
+            {"what is needed left out of the order", "what it needs", (Consumer<Explore.Case>) c -> {
+                c.needs = false;
+                c.stages = 2;
+            }},
         };
     }
 
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/moves/MovesTest.java
@@ -0,0 +1,114 @@
+package tinford.fleet.moves;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Term;
+
+public class MovesTest {
+    private static final Life ONE = new Life(1, 5);
+    private static final Map<String, String> HOMES = Map.of("web", "a", "store", "a");
+
+    private static Moves moves() {
+        return new Moves(HOMES, since -> List.of(ONE), 0);
+    }
+
+    private static Entry begin() {
+        return Entry.begin("o", 0, PlanTest.reader().read("f", PlanTest.GOOD));
+    }
+
+    /** b begin, a ack, A ack of another turn, g go ahead, G go too far, < go back, h halt, r resume, o resume of an earlier halt, x back, ! bad. */
+    private static void play(Moves m, String what, double[] now) {
+        for (char c : what.toCharArray()) {
+            now[0] += 10_000;
+            Stand s = m.stand();
+            Entry e = switch (c) {
+                case 'b' -> begin();
+                case 'a' -> Entry.ack(ONE, s.turn(), now[0]);
+                case 'A' -> Entry.ack(ONE, s.turn() - 1, now[0]);
+                case 'g' -> Entry.go(now[0], s.turn(), s.position() + 1, 20);
+                case 'G' -> Entry.go(now[0], s.turn(), s.position() + 2, 20);
+                case 'c' -> Entry.go(now[0], s.turn(), s.position() + 1);
+                case '<' -> Entry.go(now[0], s.turn(), s.position() - 1);
+                case 'h' -> Entry.halt("o", now[0]);
+                case 'r' -> Entry.resume("o", now[0], m.halts());
+                case 'o' -> Entry.resume("o", now[0], m.halts() - 1);
+                case 'x' -> Entry.back("o", now[0]);
+                default -> Entry.report(ONE, s.turn(), now[0], 100, 1, 100, 12, 0, 0, 0, 0);
+            };
+            m.apply(1, e.bytes());
+        }
+    }
+
+    @DataProvider
+    public Object[][] table() {
+        return new Object[][] {
+            {"aghrx<!", "IDLE 0"}, {"b", "FORWARD 0"}, {"bb", "FORWARD 0"}, {"bg", "FORWARD 0"}, {"bAg", "FORWARD 0"},
+            {"bag", "FORWARD 1"}, {"baG", "FORWARD 0"}, {"ba<", "FORWARD 0"}, {"bagg", "FORWARD 1"}, {"bagagacg", "FORWARD 3"},
+            {"bagagagac", "FORWARD 3"}, {"bh", "HALTED 0"}, {"bhh", "HALTED 0"}, {"bhag", "HALTED 0"}, {"bhb", "HALTED 0"},
+            {"bhr", "FORWARD 0"}, {"bhrr", "FORWARD 0"}, {"bho", "HALTED 0"}, {"bhrho", "HALTED 0"}, {"bhx", "BACK 0"},
+            {"bagx<", "BACK 0"}, {"bagx<a<", "UNDONE 0"}, {"bagagx<<", "BACK 1"}, {"bagagxhr<", "BACK 1"}, {"bagxx", "BACK 1"},
+            {"bagag!", "BACK 2"}, {"bagagh!", "HALTED 2"}, {"bagagagagagag", "DONE 5"}, {"bagagagagagagb", "DONE 5"},
+            {"bagagagagagagx", "BACK 5"}, {"bagx<a<b", "FORWARD 0"},
+        };
+    }
+
+    @Test(dataProvider = "table")
+    public void entriesDoWhatTheTableSays(String what, String expected) {
+        Moves m = moves();
+        play(m, what, new double[1]);
+        assertEquals(m.stand().state() + " " + m.stand().position(), expected, m.told());
+    }
+
+    @Test
+    public void drawnHistoriesHoldOverSnapshotsAndRubbish() {
+        for (int seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            Moves m = moves();
+            Moves other = moves();
+            double[] now = new double[1];
+            double[] same = new double[1];
+            for (int i = 0; i < 60; i++) {
+                String one = "baaAgggGc<<hrrox!".charAt(random.nextInt(17)) + "";
+                Stand before = m.stand();
+                play(m, one, now);
+                play(other, one, same);
+                assertTrue(Math.abs(m.stand().position() - before.position()) <= 1 || one.equals("b"), "seed " + seed);
+                byte[] rubbish = begin().bytes();
+                rubbish[random.nextInt(3)] = (byte) (20 + random.nextInt(40));
+                byte[] was = m.snapshot();
+                m.apply(1, rubbish);
+                m.apply(1, new byte[random.nextInt(3)]);
+                assertEquals(m.snapshot(), was);
+                assertTrue(m.told().contains("refused"));
+                Moves restored = moves();
+                restored.restore(1, was);
+                m = restored;
+            }
+            assertEquals(m.snapshot(), other.snapshot(), "seed " + seed);
+        }
+    }
+
+    @Test
+    public void withoutATermNothingOfWhatMayMoveIsSent() {
+        Moves m = moves();
+        Route r = new Route(ONE, m.stand(), 10);
+        assertFalse(r.mayGo("web", 1, false, "a", null, 0));
+        assertTrue(r.mayGo("other", 1, false, "a", null, 0));
+        r.see(m.stand(), new Term(ONE, 100, 1), false);
+        assertTrue(r.mayGo("web", 1, false, "a", null, 99));
+        assertFalse(r.mayGo("web", 1, false, "b", null, 99));
+        assertFalse(r.mayGo("web", 1, false, "a", null, 100));
+        play(m, "b", new double[1]);
+        r.see(m.stand(), new Term(ONE, 100, 1), false);
+        assertEquals(r.tells(50).kind(), Entry.Kind.ACK);
+        assertTrue(r.mayGo("store", 1, true, "b", "b", 50), "stays with its first group");
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/moves/PlanTest.java
@@ -0,0 +1,97 @@
+package tinford.fleet.moves;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import tinford.api.Effect;
+import tinford.api.Frontend;
+import tinford.api.Group;
+
+public class PlanTest {
+    static final String GOOD = """
+            plan = "p"
+            soak_ms = 10
+            [bad]
+            margin = 0.1
+            answers = 10
+            [[frontends]]
+            name = "web"
+            from = "a"
+            to = "b"
+            needs = ["store"]
+            shares = [0.5, 1.0]
+            units = 10
+            connections = 5
+            [[frontends]]
+            name = "store"
+            from = "a"
+            to = "b"
+            shares = [1.0]
+            units = 10
+            connections = 5
+            """;
+
+    static PlanReader reader() {
+        return new PlanReader(new Plan.Known(Map.of("web", frontend("web", Effect.REPLAYABLE), "store", frontend("store", Effect.UNIQUED)),
+                Map.of("web", "a", "store", "a"), Map.of("a", new Plan.Room(50, 50, 0.3), "b", new Plan.Room(20, 10, 0.3))));
+    }
+
+    private static Frontend frontend(String name, Effect effect) {
+        return new Frontend(name, 100, 1000, 1, 0, effect, Group.ALL, 5000, false);
+    }
+
+    @Test
+    public void whatIsNeededMovesWholeBefore() {
+        Plan p = reader().read("f", GOOD);
+        assertEquals(p.steps.size(), 6, "start, three steps of store, two stages of web");
+        for (Step s : p.steps) {
+            assertTrue(s.parts().get(0).until() == 0 || s.parts().get(1).share() == 1, s.toString());
+        }
+    }
+
+    @DataProvider
+    public Object[][] bad() {
+        return new Object[][] {
+            {"plan = \"p\"", "plan = ", "f:1: text: expected TOML"},
+            {"plan = \"p\"", "plan = 1", "f:1: plan: expected a text"},
+            {"margin = 0.1", "margin = 2", "f:4: margin: expected a part"},
+            {"answers = 10", "answers = 0", "f:5: answers: expected"},
+            {"soak_ms = 10", "soak_ms = -1", "f:2: soak_ms: expected"},
+            {"soak_ms = 10", "soak = 1\nsoak_ms = 10", "f:2: soak: expected no such key"},
+            {"name = \"web\"", "name = \"wob\"", "f:7: frontends[1].name: expected one of the frontends that may move, not wob"},
+            {"name = \"web\"", "name = \"store\"", "f:15: frontends[2].name: expected each frontend once"},
+            {"needs = [\"store\"]", "needs = [\"wob\"]", "f:10: frontends[1].needs: expected frontends of this plan, not wob"},
+            {"needs = [\"store\"]", "needs = [\"web\"]", "f:10: frontends[1].needs: expected no circle"},
+            {"shares = [1.0]", "needs = [\"web\"]\nshares = [1.0]", "f:18: frontends[2].needs: expected no circle"},
+            {"needs = [\"store\"]", "begins = 1\nneeds = [\"store\"]", "f:10: frontends[1].begins: expected stage 2 or later"},
+            {"[0.5, 1.0]", "[0.5, 0.4, 1.0]", "f:11: frontends[1].shares: expected 1 to 64 parts"},
+            {"[0.5, 1.0]", "[0.5]", "f:11: frontends[1].shares: expected 1 as the last"},
+            {"[0.5, 1.0]", "[]", "f:11: frontends[1].shares"},
+            {"to = \"b\"", "to = \"a\"", "f:9: frontends[1].to: expected another group"},
+            {"to = \"b\"", "to = \"c\"", "f:9: frontends[1].to: expected a known group, not c"},
+            {"from = \"a\"", "from = \"c\"", "f:8: frontends[1].from: expected where it is: a"},
+            {"units = 10", "units = 11", "f:19: frontends[2].units: expected no more in all than the 20.0"},
+            {"connections = 5", "connections = 6", "f:20: frontends[2].connections: expected no more in all than the 10"},
+        };
+    }
+
+    @Test(dataProvider = "bad")
+    public void badPlansAreRefused(String good, String instead, String expected) {
+        int at = GOOD.indexOf(good);
+        String text = GOOD.substring(0, at) + instead + GOOD.substring(at + good.length());
+        Faults.Refused r = expectThrows(Faults.Refused.class, () -> reader().read("f", text));
+        assertTrue(r.faults().stream().anyMatch(f -> f.startsWith(expected)), r.getMessage());
+    }
+
+    @Test
+    public void allFaultsAreToldAtOnce() {
+        String text = GOOD.replace("margin = 0.1", "margin = 2").replace("[0.5, 1.0]", "[0.5]").replace("units = 10", "units = 30");
+        Faults.Refused r = expectThrows(Faults.Refused.class, () -> reader().read("f", text));
+        assertTrue(r.faults().size() >= 3, r.getMessage());
+        expectThrows(Faults.Refused.class, () -> reader().read("f", "plan = \"p\"\n"));
+    }
+}
