The line compares worth without a gateway's own lift; what was ceded is told in the records

Lines of gateways whose plans are lifted differently shed differently: admit now asks the view with the worth before the lift (Job.base), the lift orders only what passes. A server that is full is no longer told as ill, as in a strain all may be full (Node.bar told both).

--- a/fleet/src/main/java/tinford/fleet/members/Sights.java
+++ b/fleet/src/main/java/tinford/fleet/members/Sights.java
@@ -5,14 +5,15 @@
 import java.util.List;
 
 /**
- * Messages: a version byte; records, the sender's own first; a byte 0, and signs of life, which say only that one lived, and when. Rates take one byte each on a log scale, ten steps an
- * octave from 1/64 to 635 000, zero by itself: 3.5 % off at most. A record has 31 bytes, one for each class that is used and a bit
- * (61 with all classes used), one more for each class that was sent in part, and five for each server named: 115 at most.
+ * Messages: a version byte; records, the sender's own first; a byte 0, and signs of life, which say only that one lived, and when.
+ * Rates take one byte each on a log scale, ten steps an octave from 1/64 to 635 000, zero by itself: 3.5 % off at most. A record has 31
+ * bytes, one for each class that is used and a bit (61 with all classes used), one more for each class that was sent in part, five for
+ * each server named, and twelve where something was ceded, whose total is exact to seven digits: 127 at most.
  */
 public final class Sights {
     /** The longest message, whatever the transport bears. */
     public static final int MOST = 256;
-    public static final int LONGEST = 115;
+    public static final int LONGEST = 127;
     private static final byte VERSION = 1;
     /** From a record's beginning: length, gateway, start, seq, made, age, body. */
     private static final int GATEWAY = 1;
@@ -25,6 +26,7 @@
     /** The greatest age that can be told, ms. */
     public static final double OLDEST = 65535 * AGE_UNIT;
     private static final int RATES = 9;
+    private static final int CEDED = 12;
     /** Bytes of a sign of life: gateway, the start's low bits, and when it lived, in {@link #SIGN_UNIT} ms since its start, three bytes. */
     static final int SIGN = 7;
     private static final double SIGN_UNIT = 8;
@@ -85,6 +87,10 @@
             long ago = Math.max(0, Math.min(127, Math.round(8 * Math.log(Math.max(ill.ago(), 1)) / Math.log(2))));
             b.putInt(ill.server()).put((byte) (ago | (ill.ill() ? 128 : 0)));
         }
+        if (s.cededTo != null) {
+            long to = s.cededTo.start();
+            b.putShort((short) s.cededTo.gateway()).putShort((short) (to >> 32)).putInt((int) to).putFloat((float) s.ceded);
+        }
         b.put(0, (byte) b.position());
         return java.util.Arrays.copyOf(b.array(), b.position());
     }
@@ -245,6 +251,11 @@
             int how = b.get(p + 4) & 255;
             s.ills.add(new Sight.Ill(b.getInt(p), how >= 128, Math.pow(2, (how & 127) / 8.0)));
         }
+        if (p + CEDED <= end) {
+            s.cededTo = new Life(b.getShort(p) & 0xFFFF, (b.getShort(p + 2) & 0xFFFFL) << 32 | b.getInt(p + 4) & 0xFFFFFFFFL);
+            float total = b.getFloat(p + 8);
+            s.ceded = total >= 0 && total < Float.POSITIVE_INFINITY ? total : 0;
+        }
         return s;
     }
 }
--- a/fleet/src/test/java/tinford/fleet/members/SightsTest.java
+++ b/fleet/src/test/java/tinford/fleet/members/SightsTest.java
@@ -24,6 +24,8 @@
         }
         s.first = r.nextDouble() * 5000;
         s.bears = r.nextDouble() * 500;
+        s.cededTo = r.nextBoolean() ? null : new Life(gateway + 1, (long) NOW - 1);
+        s.ceded = s.cededTo == null ? 0 : r.nextInt(10_000_000) / 8.0;
         for (int i = r.nextInt(Sight.MOST_ILL + 1); i > 0; i--) {
             s.ills.add(new Sight.Ill(r.nextInt(), r.nextBoolean(), 1 + r.nextInt(50_000)));
         }
@@ -58,6 +60,8 @@
             assertEquals(t.made(), 5000.0);
             assertTrue(t.age() >= age && t.age() < age + 2, "age " + age + " told as " + t.age());
             assertTrue(t.raw().length <= Sights.LONGEST);
+            assertEquals(t.sight().cededTo, s.cededTo);
+            assertEquals(t.sight().ceded, s.ceded, 0.1);
             near(t.sight().first, s.first);
             near(t.sight().bears, s.bears);
             for (int c = 0; c < Sight.CLASSES; c++) {
@@ -148,6 +152,7 @@
         Arrays.fill(s.sent, 10, 20, 100);
         s.sent[9] = 30;
         s.ills.add(new Sight.Ill(1, true, 100));
+        s.cededTo = null;
         assertTrue(Sights.raw(s, 0).length <= 60, "" + Sights.raw(s, 0).length);
         Arrays.fill(s.asked, 100);
         Arrays.fill(s.sent, 50);
--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -138,7 +138,7 @@
         final Req req;
         final Book book;
         final long seq = arrivals++;
-        final double askedAt = now, targetAt;
+        final double askedAt = now, targetAt, lift;
         final List<Hop> hops = new ArrayList<>(1);
         double reachBy, worth;
         Win countedIn;
@@ -149,7 +149,8 @@
         Job(Req req) {
             this.req = req;
             this.book = quotas.book(req.customer);
-            this.worth = req.frontend.value * book.plan.price * book.tally.lift; // for each unit
+            this.lift = book.tally.lift;
+            this.worth = req.frontend.value * book.plan.price * lift; // for each unit
             this.targetAt = now + req.frontend.target;
             reach();
         }
@@ -157,6 +158,9 @@
         /** Later than this a dispatch would be late, for the target or for the client. */
         void reach() { reachBy = Math.min(targetAt, req.expires - 2 * TICK_MS) - fleet.typical(req); }
 
+        /** Without what only this gateway lifts: the same in the whole fleet. */
+        double base() { return worth / lift; }
+
         boolean running() { return hops.stream().anyMatch(h -> h.end == null); }
 
         boolean mayHaveRun() { return hops.stream().anyMatch(h -> h.end == null || h.end.mayHaveRun); }
@@ -197,10 +201,10 @@
         double dry = job.hops.isEmpty() ? job.book.ceilingWait(job.req.units) : 0;
         if (job.hops.isEmpty()) {
             job.book.tally.asked.add(now, job.worth * job.req.units);
-            view.asked(job.req, job.worth);
+            view.asked(job.req, job.base());
             job.inside = true;
             // what the whole fleet sheds now is shed wherever it enters, at once; so is what may go nowhere
-            double part = view.goes(job.req) ? view.part(job.worth) : 0;
+            double part = view.goes(job.req) ? view.part(job.base()) : 0;
             if (part < 1 && chance.nextDouble() >= part) { finish(job, 0); return; }
         }
         if (send(job, fleet.pick(job))) return;
@@ -211,7 +215,7 @@
 
     /** Nothing more is done for the req; units that were counted but never sent on go back. */
     private void over(Job job) {
-        if (job.inside && job.hops.isEmpty() && !job.over) view.denied(job.req, job.worth);
+        if (job.inside && job.hops.isEmpty() && !job.over) view.denied(job.req, job.base());
         job.over = true;
         line.remove(job);
         if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
@@ -279,7 +283,7 @@
             job.book.tally.sent.add(now, job.worth * job.req.units);
             spare = Math.min(spare + 0.1 * job.worth / meanWorth, 10); // a tenth more dispatches, ten at once
         }
-        view.sent(job.req, node.srv, job.worth, !job.hops.isEmpty());
+        view.sent(job.req, node.srv, job.base(), !job.hops.isEmpty());
         Hop hop = new Hop(job, node);
         job.hops.add(hop);
         job.book.open++;
@@ -305,10 +309,7 @@
         Node(Srv srv) { this.srv = srv; }
 
         /** Full, down, no connection left, or failing: asked again ever more rarely, up to 4 s. */
-        void bar() {
-            barredUntil = now + 250 * (1 << Math.min(4, unreached++));
-            view.ill(srv, true);
-        }
+        void bar() { barredUntil = now + 250 * (1 << Math.min(4, unreached++)); }
 
         /** One that was put aside is tried by the gateway of the fleet that looks after it. */
         boolean tried() {
@@ -411,7 +412,7 @@
             Node n = hop.node;
             n.running.remove(hop);
             if (hop.apart) apart--; else out--;
-            if (how == End.GOOD && n.unreached > 0) view.ill(n.srv, false);
+            if (how == End.GOOD && took <= hop.job.req.frontend.target) view.ill(n.srv, false);
             if (how == End.GOOD) n.unreached = 0;
             double part = took / hop.job.req.frontend.target;
             switch (how) {
@@ -424,8 +425,12 @@
                     answer(n, n.meanStrain, true);
                     // guards against what fails at once and is free at once: one at a time is many a second
                     if (n.sick = n.fails()) n.bar();
+                    if (n.sick) view.ill(n.srv, true);
+                }
+                case FULL, UNREACHABLE -> {
+                    n.bar();
+                    if (how == End.UNREACHABLE) view.ill(n.srv, true); // where all are full, none is ill
                 }
-                case FULL, UNREACHABLE -> n.bar();
                 default -> { }
             }
         }
