A req that comes while the process ends is answered or finds the door open; a waiting process ends when told

Need: after SIGTERM clients send on every connection that stays open, and a req is lost where its connection ends with no whole answer and there is no door to go to. Seen beside: a SIGTERM to a process that waits for its turn was never heard (a door that was not there was closed; it hung until SIGKILL, and would have taken the clients); one right behind the opening of the door ended the JVM by itself, as the hook came after the door; a req written between the last look at a connection and the end of that turn was dropped; a client that reads nothing held the end up as long as its answer may stand still, 10 s. At fault: Handover.leave and close, Clients.close and leave, Serve.run, Link.flush. Change: at 450 ms the connections between reqs end, and the others behind their next answer, with the door open until 550 ms; those who come last have until 650 ms. Each connection is looked at once more right before its sending ends. The hook comes before the door, and goes where a start fails. A process without the turn exits at once. The end comes at the longest client timeout and 680 ms at the latest. Ruled out: a door closed first, as it was; connections that have just come closed with the others, which crosses their first req. Left: a connection that the machine lets in between the last accept and the close of the listening socket is reset; some microseconds.

--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -21,7 +21,10 @@
     /** Clients and connections that come this long after SIGTERM, to one without a successor, are none the wiser. */
     private static final double CLIENTS_COME = 450;
 
-    /** With one, connections that bring no req meanwhile end this long after SIGTERM: their last req has its full time. */
+    /** The door stays open so much longer, for what crosses the end of a connection. */
+    private static final double DOOR_STAYS = 100;
+
+    /** Connections that bring no req meanwhile end this long after SIGTERM: their last req has its full time. */
     private static final double CLIENTS_STAY = 650;
 
     private static final double LOOK = 10;
@@ -33,6 +36,9 @@
     private final InetSocketAddress at;
     private final int half;
     private double leftAt;
+    private boolean begun; // at the start, whichever process has the turn
+    private boolean taken; // the clients, at some time
+    private boolean ending;
 
     /**
      * @param operators their door, or null
@@ -49,13 +55,15 @@
     }
 
     /** Opens the door if no other process has the turn. */
-    boolean first() throws IOException {
+    synchronized boolean first() throws IOException {
+        begun = true;
         if (turn != null && !turn.take()) {
             desk.loop.setAside(half);
             LOG.log(Level.INFO, "another process of this gateway takes the clients; ready to follow it");
             return false;
         }
         clients.listen(at, turn != null);
+        taken = true;
         if (turn != null) {
             boolean alone = turn.alone();
             if (!alone) {
@@ -73,10 +81,14 @@
 
     /** Within a turn of the loop: looks for the end of the other process's turn. */
     void await() {
+        if (ending) {
+            return;
+        }
         try {
             if (turn.take()) {
                 desk.takesOver();
                 clients.listen(at, true);
+                taken = true;
                 LOG.log(Level.INFO, "the clients come here now");
                 opened();
                 alone();
@@ -90,7 +102,7 @@
 
     private void opened() {
         try {
-            if (turn.opened()) {
+            if (ending || turn.opened()) {
                 return;
             }
         } catch (IOException e) {
@@ -114,10 +126,18 @@
 
     /** At SIGTERM: goes on as before while clients still come, then lets them go, and ends when all is answered. */
     void leave() {
+        synchronized (this) { // guards a door that is being opened
+            if (!begun) {
+                Runtime.getRuntime().halt(0);
+            }
+        }
         CountDownLatch left = new CountDownLatch(1);
         desk.loop.enter(() -> {
+            ending = true;
             leftAt = System.nanoTime() / 1e6;
-            if (turn == null) {
+            if (!taken) {
+                left.countDown(); // it waited for its turn, and goes without one
+            } else if (turn == null) {
                 desk.loop.after(CLIENTS_COME, () -> close(left));
             } else {
                 give(left);
@@ -157,7 +177,8 @@
         if (operators != null) {
             operators.leaving();
         }
-        clients.close(left::countDown);
+        clients.letGo();
+        desk.loop.after(DOOR_STAYS, () -> clients.close(CLIENTS_STAY - since(), left::countDown));
     }
 
     private double since() {
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -95,27 +95,33 @@
         Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
         Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn)) : null;
         Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"), sockets / 2);
-        boolean first = handover.first();
-        desk.loop.enter(() -> {
-            desk.begin();
+        Thread leave = new Thread(handover::leave, "leave");
+        Runtime.getRuntime().addShutdownHook(leave); // guards clients against a SIGTERM right behind the opening of the door
+        try {
+            boolean first = handover.first();
+            desk.loop.enter(() -> {
+                desk.begin();
+                if (managed) {
+                    operators.begin();
+                }
+                servers.list(known);
+                if (!first) {
+                    handover.await();
+                }
+                if (counter != null) {
+                    counter.connect();
+                }
+                if (!Handed.mustAsk(set)) {
+                    watch.want(true);
+                }
+            });
             if (managed) {
-                operators.begin();
-            }
-            servers.list(known);
-            if (!first) {
-                handover.await();
+                operators.listen(Addresses.of(given, "management"));
             }
-            if (counter != null) {
-                counter.connect();
-            }
-            if (!Handed.mustAsk(set)) {
-                watch.want(true);
-            }
-        });
-        if (managed) {
-            operators.listen(Addresses.of(given, "management"));
+        } catch (IOException | BadInput e) {
+            Runtime.getRuntime().removeShutdownHook(leave); // the exit code tells of it
+            throw e;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(handover::leave, "leave"));
         // guards against the end that SIGHUP is to a JVM by itself
         onHangUp(() -> {
             seen.set(written(env.get("ROUTER_CONFIG")));
--- a/gateway/src/main/java/tinford/routing/ClientLink.java
+++ b/gateway/src/main/java/tinford/routing/ClientLink.java
@@ -272,10 +272,15 @@
         if (closing == Ending.MALFORMED) {
             dismiss(closing);
         } else if (quiet() || idle()) { // what has come by now is answered first
-            finish(closing);
+            finishIfQuiet(closing);
         }
     }
 
+    /** It has brought a command, and no other is under way. */
+    boolean rests() {
+        return asked && idle();
+    }
+
     /** Between reqs: a client sends once more what crosses this. */
     void close(Ending how) {
         closing = how;
--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -24,6 +24,7 @@
     private static final double SILENCE = 2000; // from the first; an error or a close is owed within 3 s
     private static final double HALF = 2300; // with a command come in part: a client may take 2 s for one
     private static final double LOOK = 250;
+    private static final double LAST_ANSWERS = 30; // after the longest client timeout nobody waits for one any more
     final Desk desk;
     final Resp resp = new Resp(true);
     private final Map<String, Frontend> frontends;
@@ -39,6 +40,7 @@
     private final Set<Long> ids = new HashSet<>(); // of the reqs that are open
     private final ArrayDeque<ClientLink> unread = new ArrayDeque<>(); // with a command that there is no room for yet
     private long kept; // for commands under way
+    private final double longest; // that a client waits
     private Door door;
     private Runnable closed;
     /** Another process takes the clients: each connection ends behind its next answer. */
@@ -66,6 +68,7 @@
         this.mostLinks = mostLinks;
         this.ease = ease;
         this.mostHeld = mostHeld;
+        this.longest = frontends.values().stream().mapToDouble(f -> f.timeout).max().orElse(0);
     }
 
     /** @param shared another process of this gateway may listen there at the same time */
@@ -222,8 +225,20 @@
     public void leave(double stay, Runnable then) {
         leaving = true;
         while (links.size() > ease && shut()) { } // both processes together have the descriptors of one
-        door.close(() -> { });
-        desk.loop.after(stay, () -> end(then));
+        close(stay, then);
+    }
+
+    /**
+     * Connections between reqs end, the others right behind their next answer. Guards reqs that cross that: the door is still
+     * open, so that their clients find one to send them to once more.
+     */
+    public void letGo() {
+        leaving = true;
+        for (ClientLink l : new ArrayList<>(links)) {
+            if (l.rests()) {
+                l.close(Ending.RETIRED);
+            }
+        }
     }
 
     private boolean shut() {
@@ -231,12 +246,14 @@
         return l != null && l.giveWay();
     }
 
-    /** Nobody new is let in, and each connection ends once all that came through it is answered. */
-    public void close(Runnable then) {
-        door.close(() -> end(then));
+    /** Nobody new is let in; those who have just come may stay so long, then each connection ends once all on it is answered. */
+    public void close(double stay, Runnable then) {
+        door.close(() -> { });
+        desk.loop.after(stay, () -> end(then));
     }
 
-    private void end(Runnable then) {
+    /** Each connection ends once all on it is answered. */
+    void end(Runnable then) {
         closed = then;
         for (ClientLink l : new ArrayList<>(links)) {
             l.close(Ending.RETIRED);
@@ -244,5 +261,6 @@
         if (links.isEmpty()) {
             then.run();
         }
+        desk.loop.after(longest + LAST_ANSWERS, then::run); // guards the end against clients that neither read nor close
     }
 }
--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -23,7 +23,7 @@
     private Ending failing;
     private Ending finishing;
     private int awaited = -1; // unwritten bytes at which its owner wants to hear of it
-    private boolean noted, opened, came, drained, dirty, holds, over, held;
+    private boolean noted, opened, came, drained, dirty, holds, over, held, looks, shut;
 
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
     protected Link(Loop loop, int mostUnread, int mostUnwritten) {
@@ -147,14 +147,24 @@
                 fail(Ending.OVERFULL);
             } else if (buf.unwritten() > 0) {
                 connection.getSinkChannel().resumeWrites();
-            } else if (finishing != null) {
-                connection.getSinkChannel().shutdownWrites();
+            } else if (finishing != null && !shut) {
+                shut();
             }
         } catch (IOException e) {
             fail(Ending.BROKEN);
         }
     }
 
+    private void shut() throws IOException {
+        if (looks && !quiet()) { // guards what has come since: it is heard first
+            finishing = null;
+            patience.cancel();
+            return;
+        }
+        shut = true;
+        connection.getSinkChannel().shutdownWrites();
+    }
+
     private void fail(Ending how) {
         if (failing == null) {
             failing = how;
@@ -230,8 +240,15 @@
         }
     }
 
+    /** As {@link #finish}, but not where something has come until right before it: its owner hears of that, and asks again. */
+    protected final void finishIfQuiet(Ending how) {
+        looks = true;
+        finish(how);
+    }
+
     /** Guards against what is sent without end: nothing more is read, and the connection ends soon after its last line. */
     protected final void dismiss(Ending how) {
+        looks = false;
         deaf();
         finish(how);
         if (!over && patience != null) {
--- a/gateway/src/test/java/tinford/routing/RoutingTest.java
+++ b/gateway/src/test/java/tinford/routing/RoutingTest.java
@@ -28,6 +28,7 @@
 import tinford.api.Req;
 import tinford.api.Writer;
 import tinford.transport.Ending;
+import tinford.transport.Loop;
 
 /** What the ends of connections mean, addresses, and the messages between gateways. */
 public class RoutingTest {
@@ -127,12 +128,15 @@
 
     @DataProvider
     public Object[][] closes() {
-        return new Object[][] {{false}, {true}};
+        return new Object[][] {{"room"}, {"end"}, {"end, crossed"}, {"let go, crossed"}};
     }
 
-    /** What has come by the time its connection would go for a new one, or at SIGTERM, is answered, though nobody has read it. */
+    /**
+     * What has come by the time its connection would go for a new one, or at SIGTERM, is answered, though nobody has read it; so
+     * is what comes in the very turn in which the end was begun.
+     */
     @Test(dataProvider = "closes")
-    public void aReqUnreadKeepsItsConnection(boolean all) throws Exception {
+    public void aReqUnreadKeepsItsConnection(String how) throws Exception {
         Gateway gateway = (now, feed, out) -> feed.replay(new Bed.Deaf() {
             @Override
             public void arrived(Req req) {
@@ -155,17 +159,25 @@
                 s.getOutputStream().write("*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII));
                 assertEquals(new String(s.getInputStream().readNBytes(7), StandardCharsets.US_ASCII), "+PONG\r\n");
             }
-            desk.loop.enter(() -> {
+            Loop.Due write = () -> {
                 try {
                     longest.getOutputStream().write(("*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000000000000007\r\n$16\r\n0000000000000001\r\n"
                             + "$13\r\nc=f,t=p,d=900\r\n").getBytes(StandardCharsets.US_ASCII));
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
-                if (all) {
-                    clients.close(() -> { });
-                } else {
-                    clients.makeRoom(ClientLink.JUST_COME);
+            };
+            desk.loop.enter(() -> {
+                if (!how.endsWith("crossed")) {
+                    write.play();
+                }
+                switch (how.split(",")[0]) {
+                    case "room" -> clients.makeRoom(ClientLink.JUST_COME);
+                    case "end" -> clients.end(() -> { });
+                    default -> clients.letGo();
+                }
+                if (how.endsWith("crossed")) {
+                    write.play();
                 }
             });
             assertEquals(new String(longest.getInputStream().readNBytes(14), StandardCharsets.US_ASCII), "-ERR aborted\r\n");
