--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -1,7 +1,6 @@
 package tinford.fleet.run;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
 import java.util.Map;
 import java.util.Random;
@@ -55,7 +54,7 @@
     }
 
     @Override
-    public View join(Place place, Consumer<Loop.Due> enter) {
+    public View join(Place place, Consumer<Loop.Due> enter) throws IOException {
         double now = now();
         life = new Life(place.number, (long) now);
         mailbox = new Mailbox(MOST_SOFT, MOST_HARD, what -> enter.accept(what::run));
@@ -64,18 +63,14 @@
         members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect, new Random(handed.seed()));
         overload = new Overload(now, life, orders.number("overload.window_ms"), orders.number("overload.further_part"),
                 new Random(handed.seed() + 1));
-        try {
-            if (orders.on("budgets.on") || orders.on("moves.on")) {
-                hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways), Map.of(), mailbox);
-            }
-            view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now);
-            history = History.at(historyPath, life);
-            if (handed.mayTalk()) {
-                talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
-                        (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        if (orders.on("budgets.on") || orders.on("moves.on")) {
+            hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways), Map.of(), mailbox);
+        }
+        view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now);
+        history = History.at(historyPath, life);
+        if (handed.mayTalk()) {
+            talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
+                    (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
         }
         history.add(now, "start");
         LOG.log(Level.INFO, "one of a fleet of " + place.gateways + (talk == null ? "; the settings allow no talk" : ""));
--- a/gateway/src/main/java/tinford/program/Companion.java
+++ b/gateway/src/main/java/tinford/program/Companion.java
@@ -1,5 +1,6 @@
 package tinford.program;
 
+import java.io.IOException;
 import java.util.function.Consumer;
 import tinford.api.Place;
 import tinford.api.View;
@@ -12,7 +13,7 @@
      *
      * @param enter from any thread: runs what it is given within a round, soon
      */
-    View join(Place place, Consumer<Loop.Due> enter);
+    View join(Place place, Consumer<Loop.Due> enter) throws IOException;
 
     /** Within a round, each {@link #every} ms. */
     void tick();
