--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -104,50 +104,62 @@
         Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
         Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn)) : null;
         Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"), sockets / 2);
-        CountDownLatch tried = new CountDownLatch(1);
-        AtomicReference<IOException> shut = new AtomicReference<>();
-        desk.loop.enter(() -> {
-            desk.begin();
-            if (managed) {
-                operators.begin();
-            }
+        Thread leave = new Thread(() -> {
             if (companion != null) {
-                desk.sees(companion.join(Handed.place(set), desk.loop::enter));
-                accompany(desk, servers, companion);
-            }
-            servers.list(known);
-            if (counter != null) {
-                counter.connect();
+                desk.loop.enter(companion::leaves);
             }
-            // guards against a list out of date: what is pushed counts as told from this process's first moment on
-            watch.whenFirst(Handed.mustAsk(set) ? 0 : FIRST_LIST, () -> {
-                try {
-                    if (!handover.first()) {
-                        handover.await();
+            handover.leave();
+        }, "leave");
+        Runtime.getRuntime().addShutdownHook(leave); // guards clients against a SIGTERM right behind the opening of the door
+        try {
+            CountDownLatch tried = new CountDownLatch(1);
+            AtomicReference<IOException> shut = new AtomicReference<>();
+            desk.loop.enter(() -> {
+                desk.begin();
+                if (managed) {
+                    operators.begin();
+                }
+                if (companion != null) {
+                    try {
+                        desk.sees(companion.join(Handed.place(set), desk.loop::enter));
+                    } catch (IOException e) {
+                        shut.set(e);
+                        tried.countDown();
+                        return;
+                    }
+                    accompany(desk, servers, companion);
+                }
+                servers.list(known);
+                if (counter != null) {
+                    counter.connect();
+                }
+                // guards against a list out of date: what is pushed counts as told from this process's first moment on
+                watch.whenFirst(Handed.mustAsk(set) ? 0 : FIRST_LIST, () -> {
+                    try {
+                        if (!handover.first()) {
+                            handover.await();
+                        }
+                    } catch (IOException e) {
+                        shut.set(e);
                     }
-                } catch (IOException e) {
-                    shut.set(e);
+                    tried.countDown();
+                });
+                if (!Handed.mustAsk(set)) {
+                    watch.want(true);
                 }
-                tried.countDown();
             });
-            if (!Handed.mustAsk(set)) {
-                watch.want(true);
+            await(tried);
+            if (shut.get() != null) {
+                desk.loop.close();
+                throw shut.get();
             }
-        });
-        await(tried);
-        if (shut.get() != null) {
-            desk.loop.close();
-            throw shut.get();
-        }
-        if (managed) {
-            operators.listen(Addresses.of(given, "management"));
-        }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            if (companion != null) {
-                desk.loop.enter(companion::leaves);
+            if (managed) {
+                operators.listen(Addresses.of(given, "management"));
             }
-            handover.leave();
-        }, "leave"));
+        } catch (IOException | BadInput e) {
+            Runtime.getRuntime().removeShutdownHook(leave); // the exit code tells of it
+            throw e;
+        }
         // guards against the end that SIGHUP is to a JVM by itself
         onHangUp(() -> {
             seen.set(written(env.get("ROUTER_CONFIG")));
