Budgets run with real processes: a connection counts until its server saw its end

Once they ran, servers held 7 connections of 6 offered: a connection was opened in the place of one just closed, before the server had seen that. Where a view bounds connections, the sending is ended first, and the place is free once the server has ended too (1 s at most). A fixed wait instead was ruled out: it costs its time at each close. The lock of the log's folder is held by a field, as a collected channel lets go of it. An account may have one dispatch out always: where more accounts are awake than connections are offered, most were granted none.

--- a/fleet/src/main/java/tinford/fleet/budgets/Share.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Share.java
@@ -69,7 +69,7 @@
     }
 
     /** Whether its grants count now, by its own clock. */
-    boolean holds(double now) {
+    public boolean holds(double now) {
         Term term = ledger.terms().of(life);
         return term != null && term.holds(now + margin);
     }
@@ -92,13 +92,11 @@
         return Math.max(0, open.getOrDefault(server, 0) - mayHold(server, now));
     }
 
-    /** Dispatches that an account may have out through this gateway. One that the ledger does not know yet may
-     * have one. */
+    /** Dispatches that an account may have out through this gateway; one at least. Where more accounts are awake than there are
+     * connections, most are granted none, though each asks for one only now and then: those meet at the connections, first come first served. */
     public int mayUse(long account, double now) {
         if (holds(now)) {
-            Ledger.Holder h = ledger.holders.get(life);
-            int least = h == null || !h.asked.containsKey(account) ? 1 : 0;
-            return Math.max(least, ledger.uses(life, account));
+            return Math.max(1, ledger.uses(life, account));
         }
         Want want = wants.get(account);
         return want == null ? 1 : Math.max(1, want.alone);
--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -36,6 +36,8 @@
     private FleetView view;
     private Hard hard; // null where nothing needs agreement
     private boolean led;
+    private boolean holds;
+    private int mayHold = -1; // at all servers
     private int seq;
     private double last;
     private int living = -1;
@@ -78,6 +80,9 @@
             throw new UncheckedIOException(e);
         }
         history.add(now, "start");
+        if (hard != null) {
+            history.add(now, "term", "holds", false);
+        }
         LOG.log(Level.INFO, "one of a fleet of " + place.gateways + (talk == null ? "; the settings allow no talk" : ""));
         return view;
     }
@@ -107,6 +112,18 @@
             led = hard.leads();
             history.add(now, "leads", "on", led);
         }
+        if (hard != null) {
+            if (hard.holds(now) != holds) {
+                holds = !holds;
+                LOG.log(Level.INFO, holds ? "acts on its term" : "holds no term: the static share only");
+                history.add(now, "term", "holds", holds);
+            }
+            int may = hard.mayHold(now);
+            if (may != mayHold) {
+                mayHold = may;
+                history.add(now, "grant", "all", may);
+            }
+        }
         if (overload.threshold() > 0 != strained) {
             strained = !strained;
             LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -36,6 +36,7 @@
     private final Proposer proposer;
     private final int offer;
     private final Map<String, Srv> servers = new LinkedHashMap<>();
+    private final FileChannel lock; // held for this life: one that nobody holds is closed, and its lock goes with it
     private volatile Log log;
     private boolean led;
 
@@ -49,7 +50,8 @@
         int cap = (int) orders.number("budgets.cap");
         proposer = new Proposer(key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), ROUND);
         Path folder = Files.createDirectories(Path.of(orders.text("log.folder")));
-        boolean alone = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock() != null;
+        lock = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        boolean alone = lock.tryLock() != null;
         share = new Share(agreed.ledger, statics, key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), life, term, 2 * apart, ROUND,
                 KEEP, alone ? life.start() : life.start() + linger);
         Agreed kept = new Agreed(gateways, term, apart, linger, statics(orders, gateways), homes);
@@ -170,6 +172,20 @@
         share.leaves();
     }
 
+    /** Whether it acts on its term, or on its static share only. */
+    boolean holds(double now) {
+        return share.holds(now);
+    }
+
+    /** Connections that it may hold at all servers that it has asked of: static ones and granted ones. */
+    int mayHold(double now) {
+        int all = 0;
+        for (String id : servers.keySet()) {
+            all += share.mayHold(id, now);
+        }
+        return all;
+    }
+
     boolean left() {
         return share.left();
     }
--- a/gateway/src/main/java/tinford/routing/Backend.java
+++ b/gateway/src/main/java/tinford/routing/Backend.java
@@ -12,8 +12,10 @@
     double listedBorn;
     /** Connections with nothing in them, the last used first. */
     final ArrayDeque<ServerLink> idle = new ArrayDeque<>();
-    /** All connections to it, those that are still opening included. */
+    /** All connections to it, those that are still opening, and those that it has not seen closed, included. */
     int links;
+    /** Of these, those that have ended, though the server may not have seen it yet. */
+    int leaving;
 
     Backend(String id) {
         super(id);
--- a/gateway/src/main/java/tinford/routing/ServerLink.java
+++ b/gateway/src/main/java/tinford/routing/ServerLink.java
@@ -26,6 +26,8 @@
     private boolean flows; // its client has had the beginning
     private double movedAt; // when some of it last came or left
     double idleSince;
+    boolean counts; // among its server's connections
+    ServerLink next; // is opened in its place
 
     ServerLink(Desk desk, Servers servers, Backend backend) {
         super(desk.loop, Resp.MOST, MOST_OUT);
@@ -253,6 +255,17 @@
         flows = false;
     }
 
+    /** Where a fleet shares a server's connections, one that it still counts must not be given on. */
+    @Override
+    protected boolean waits() {
+        return servers.desk.view.mayHold(backend) < Integer.MAX_VALUE;
+    }
+
+    @Override
+    protected void closed() {
+        servers.closed(this);
+    }
+
     @Override
     protected void ended(Ending how) {
         servers.gone(this, how);
--- a/gateway/src/main/java/tinford/routing/Servers.java
+++ b/gateway/src/main/java/tinford/routing/Servers.java
@@ -137,22 +137,33 @@
             if (links >= most) {
                 makeRoom();
             }
-            // the one place that holds what the fleet may hold at a server: an idle one that has not rested gives its place
-            if (b.links >= desk.view.mayHold(b) && !b.idle.isEmpty()) {
-                b.idle.peekLast().end(Ending.RETIRED);
-            }
-            boolean room = b.links < desk.view.mayHold(b) && links < most;
             link = new ServerLink(desk, this, b);
-            links++;
-            b.links++;
-            desk.view.opened(b);
             link.carry(d, patience);
-            link.connect(room ? connectWithin : 0);
+            if (b.links >= desk.view.mayHold(b) && !b.idle.isEmpty()) { // one that has not rested gives its place
+                ServerLink old = b.idle.peekLast();
+                old.next = link;
+                old.end(Ending.RETIRED);
+            } else {
+                open(link);
+            }
         } else {
             link.carry(d, patience);
         }
     }
 
+    /** The one place that holds what the fleet may hold at a server. */
+    private void open(ServerLink link) {
+        Backend b = link.backend;
+        boolean room = b.links < desk.view.mayHold(b) && links < most;
+        if (room) {
+            link.counts = true;
+            links++;
+            b.links++;
+            desk.view.opened(b);
+        }
+        link.connect(room ? connectWithin : 0);
+    }
+
     /**
      * Guards against what comes behind an answer: a connection is used again only once it has been left alone for a
      * moment, and is found with nothing in it when it is looked at once more.
@@ -177,7 +188,7 @@
     }
 
     void free(ServerLink link) {
-        if (link.backend.state == Srv.State.UP && link.backend.links <= desk.view.mayHold(link.backend)) {
+        if (link.backend.state == Srv.State.UP && link.backend.links - link.backend.leaving <= desk.view.mayHold(link.backend)) {
             link.idleSince = desk.now;
             link.backend.idle.addFirst(link);
         } else {
@@ -186,9 +197,7 @@
     }
 
     void gone(ServerLink link, Ending how) {
-        links--;
-        link.backend.links--;
-        desk.view.closed(link.backend);
+        link.backend.leaving += link.counts ? 1 : 0;
         link.backend.idle.remove(link);
         // guards against connections that look idle and lead to a machine that is gone: none can be opened to it
         if (how == Ending.REFUSED || how == Ending.NEVER_UP) {
@@ -196,10 +205,22 @@
         }
     }
 
+    void closed(ServerLink link) {
+        if (link.counts) {
+            links--;
+            link.backend.links--;
+            link.backend.leaving--;
+            desk.view.closed(link.backend);
+        }
+        if (link.next != null && !link.next.over()) {
+            open(link.next);
+        }
+    }
+
     /** What the fleet may hold has become less somewhere: idle connections go now, the others behind their answers. */
     public void trim() {
         for (Backend b : backends.values()) {
-            while (b.links > desk.view.mayHold(b) && !b.idle.isEmpty()) {
+            while (b.links - b.leaving > desk.view.mayHold(b) && !b.idle.isEmpty()) {
                 b.idle.peekLast().end(Ending.RETIRED);
             }
         }
--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -23,7 +24,7 @@
     private Ending failing;
     private Ending finishing;
     private int awaited = -1; // unwritten bytes at which its owner wants to hear of it
-    private boolean noted, opened, came, drained, dirty, holds, over, held;
+    private boolean noted, opened, came, drained, dirty, holds, over, held, gone;
 
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
     protected Link(Loop loop, int mostUnread, int mostUnwritten) {
@@ -42,9 +43,17 @@
     /** No more is unwritten than was asked for with {@link #awaitDrain}. */
     protected void drained() { }
 
-    /** The last callback of every link. */
+    /** The last callback of every link, but for {@link #closed}. */
     protected abstract void ended(Ending how);
 
+    /** Whether the other side is to have seen the end before it counts as closed. */
+    protected boolean waits() {
+        return false;
+    }
+
+    /** It is closed, and where {@link #waits} says so the other side has seen that, or had its time to. */
+    protected void closed() { }
+
     public final boolean up() {
         return connection != null && !over;
     }
@@ -258,15 +267,60 @@
         if (patience != null) {
             patience.cancel();
         }
-        if (connection != null) {
+        boolean seen = connection == null || how == Ending.ENDED || how == Ending.BROKEN || !waits();
+        if (!seen) {
+            bid();
+        } else if (connection != null) {
             IoUtils.safeClose(connection);
         } else if (opening != null) {
             opening.cancel();
         }
+        ended(how);
+        buf.free();
+        if (seen) {
+            close();
+        }
+    }
+
+    private void close() {
         if (holds) {
             loop.giveDescriptor();
         }
-        ended(how);
-        buf.free();
+        closed();
+    }
+
+    /** Ends the sending only, and closes when the other side has done so too: then it has seen the end. */
+    private void bid() {
+        Loop.Due last = () -> {
+            if (!gone) {
+                gone = true;
+                patience.cancel();
+                IoUtils.safeClose(connection);
+                close();
+            }
+        };
+        patience = loop.after(LAST_BYTES, () -> loop.due(last));
+        ByteBuffer rest = ByteBuffer.allocate(1024);
+        connection.getSourceChannel().setReadListener(ch -> {
+            try {
+                int n;
+                do {
+                    n = ch.read(rest.clear());
+                } while (n > 0);
+                if (n == 0) {
+                    return;
+                }
+            } catch (IOException e) {
+                // reset: it has seen it
+            }
+            ch.suspendReads();
+            loop.due(last);
+        });
+        connection.getSourceChannel().resumeReads();
+        try {
+            connection.getSinkChannel().shutdownWrites();
+        } catch (IOException e) {
+            loop.due(last);
+        }
     }
 }
