Accounts shared by customers, leaving told before the end, closes counted before they are seen

Whole connections can't be divided among more customers than there are connections: customers of one weight share budgets.accounts accounts. A gateway that is told to end closes what idles once all is answered, and waits up to 700 ms until the log has that it left; the end of the process is in its handover, so the call comes from there. Offers are told once a round, and of the servers asked for lately. The bench's servers counted a close after the other side could see it.

--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -20,6 +20,7 @@
 final class Fleet implements Companion {
     private static final System.Logger LOG = System.getLogger("tinford.fleet");
     private static final double TICK = 50;
+    private static final double MOST_LEAVING = 700; // two rounds, and the way through the log
     private static final int MOST_BYTES = 256;
     private static final int MOST_SOFT = 128;
     private static final int MOST_HARD = 1024;
@@ -144,4 +145,17 @@
             hard.leaves();
         }
     }
+
+    @Override
+    public void answered() {
+        if (hard == null) {
+            return;
+        }
+        view.over();
+        try {
+            hard.awaitLeft(MOST_LEAVING);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/fleet/src/main/java/tinford/fleet/run/FleetView.java
+++ b/fleet/src/main/java/tinford/fleet/run/FleetView.java
@@ -15,6 +15,7 @@
     private final View overload;
     private final Hard budgets;
     private final DoubleSupplier clock;
+    private volatile boolean over;
     private final Map<Long, Integer> out = new HashMap<>(); // dispatches, by account
 
     /** @param overload null where it is off; {@code budgets} likewise */
@@ -26,18 +27,23 @@
 
     @Override
     public int mayHold(Srv srv) {
-        return budgets == null ? Integer.MAX_VALUE : budgets.mayHold(srv, clock.getAsDouble());
+        return budgets == null ? Integer.MAX_VALUE : over ? 0 : budgets.mayHold(srv, clock.getAsDouble());
+    }
+
+    /** From any thread: nothing goes to servers any more. */
+    void over() {
+        over = true;
     }
 
     @Override
     public int mayUse(Customer customer) {
-        return budgets == null ? Integer.MAX_VALUE : budgets.mayUse(Hard.key(customer), clock.getAsDouble());
+        return budgets == null ? Integer.MAX_VALUE : budgets.mayUse(budgets.key(customer), clock.getAsDouble());
     }
 
     @Override
     public void lacked(Req req) {
         if (budgets != null) {
-            long account = Hard.key(req.customer);
+            long account = budgets.key(req.customer);
             budgets.wanted(account, out.getOrDefault(account, 0) + 1);
         }
     }
@@ -60,7 +66,7 @@
         if (budgets == null) {
             return;
         }
-        long account = Hard.key(req.customer);
+        long account = budgets.key(req.customer);
         if (more > 0 && out.size() < MOST_ACCOUNTS) {
             budgets.wanted(account, out.merge(account, more, Integer::sum));
         } else if (more < 0) {
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -11,6 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import tinford.api.Srv;
 import tinford.fleet.budgets.Ledger;
 import tinford.fleet.budgets.Proposer;
@@ -27,15 +30,29 @@
     private static final double ROUND = 250; // entries of a gateway come no faster than two in this time
     private static final double KEEP = 2000; // what was wanted lately is wanted still
     private static final int MOST_SERVERS = 1024;
-    private static final int OFFERS_A_TICK = 16;
+    private static final int OFFERS_A_ROUND = 64;
     private static final RaftLog.Bounds BOUNDS = new RaftLog.Bounds(2000, 256, 64 << 10, 5000, 400);
-    /** A key of an account holds its plan's weight above the customer's own 33 bits, so that every gateway divides by it. */
+    /**
+     * A key of an account holds its plan's weight above the rest, so that every gateway divides by it. Customers of one weight share so many
+     * accounts: where more of them are awake than there are connections, whole ones can't be divided among all.
+     */
     private static final int WEIGHT_AT = 40;
     final Agreed agreed;
     private final Share share;
     private final Proposer proposer;
     private final int offer;
-    private final Map<String, Srv> servers = new LinkedHashMap<>();
+    private final int accounts;
+    private double nextOffers;
+    /** Those asked for lately. */
+    private final Map<String, Srv> servers = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Srv> eldest) {
+            return size() > MOST_SERVERS;
+        }
+    };
+    private final CountDownLatch left = new CountDownLatch(1);
     private final FileChannel lock; // held for this life: one that nobody holds is closed, and its lock goes with it
     private volatile Log log;
     private boolean led;
@@ -45,6 +62,7 @@
         double apart = orders.number("log.clocks_apart_ms");
         double linger = orders.number("log.linger_ms");
         offer = (int) orders.number("budgets.offer");
+        accounts = (int) orders.number("budgets.accounts");
         agreed = new Agreed(gateways, term, apart, linger, statics, homes);
         int floor = (int) orders.number("budgets.floor");
         int cap = (int) orders.number("budgets.cap");
@@ -106,16 +124,20 @@
     }
 
     /** Offers an entry; what is lost is offered again by whoever wants it, from what the log has come to. */
-    void append(byte[] entry) {
+    CompletableFuture<Long> append(byte[] entry) {
         Log to = log;
-        if (to != null) {
-            to.append(entry);
-        }
+        return to == null ? CompletableFuture.completedFuture(0L) : to.append(entry);
     }
 
     void tick(double now) {
+        if (share.left()) {
+            return;
+        }
         for (byte[] entry : share.round(now)) {
-            append(entry);
+            CompletableFuture<Long> taken = append(entry);
+            if (share.left()) {
+                taken.whenComplete((index, e) -> left.countDown());
+            }
         }
         boolean leads = log != null && log.leads();
         if (leads != led) {
@@ -125,9 +147,11 @@
         if (!leads) {
             return;
         }
-        int told = 0;
+        int told = now < nextOffers ? OFFERS_A_ROUND : 0;
+        nextOffers = told > 0 ? nextOffers : now + ROUND;
         for (Srv s : servers.values()) {
-            if (agreed.ledger.number(s.id) < 0 && told++ < OFFERS_A_TICK) {
+            if (told < OFFERS_A_ROUND && agreed.ledger.number(s.id) < 0) {
+                told++;
                 append(Ledger.offer(s.id, (long) s.born, offer, now));
             }
         }
@@ -142,14 +166,12 @@
     }
 
     int mayHold(Srv srv, double now) {
-        if (servers.size() < MOST_SERVERS) {
-            servers.putIfAbsent(srv.id, srv);
-        }
+        servers.put(srv.id, srv);
         return share.mayHold(srv.id, now);
     }
 
-    static long key(tinford.api.Customer c) {
-        return Math.max(1, Math.min(1000, Math.round(10 * c.plan.price))) << WEIGHT_AT | c.id;
+    long key(tinford.api.Customer c) {
+        return Math.max(1, Math.min(1000, Math.round(10 * c.plan.price))) << WEIGHT_AT | Math.floorMod(c.id, accounts);
     }
 
     int mayUse(long account, double now) {
@@ -186,7 +208,8 @@
         return all;
     }
 
-    boolean left() {
-        return share.left();
+    /** From any thread: until the log has the entry that it left, for so long at most. */
+    void awaitLeft(double ms) throws InterruptedException {
+        left.await((long) ms, TimeUnit.MILLISECONDS);
     }
 }
--- a/fleet/src/main/java/tinford/fleet/run/Orders.java
+++ b/fleet/src/main/java/tinford/fleet/run/Orders.java
@@ -46,6 +46,7 @@
         KEYS.put("budgets.on", new Key("true or false", 0, 0, false));
         number("budgets.offer", 16, 1, 100_000);
         number("budgets.static_part", 0.5, 0, 1);
+        number("budgets.accounts", 64, 1, 4096);
         number("budgets.floor", 1, 0, 1000);
         number("budgets.cap", 64, 1, 100_000);
         KEYS.put("moves.on", new Key("true or false", 0, 0, false));
--- a/gateway/src/main/java/tinford/program/Companion.java
+++ b/gateway/src/main/java/tinford/program/Companion.java
@@ -21,4 +21,7 @@
 
     /** Within a round: this process is told to end, and goes on until all it took is answered. */
     void leaves();
+
+    /** On the thread that ends the process, once all that it took is answered: its last moment, which may take one. */
+    default void answered() { }
 }
--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -113,7 +113,7 @@
     }
 
     /** At SIGTERM: goes on as before while clients still come, then lets them go, and ends when all is answered. */
-    void leave() {
+    void leave(Runnable last) {
         CountDownLatch left = new CountDownLatch(1);
         desk.loop.enter(() -> {
             leftAt = System.nanoTime() / 1e6;
@@ -128,6 +128,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        last.run();
         Lines.flush(LAST_LINES);
         Runtime.getRuntime().halt(0);
     }
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -146,7 +146,7 @@
             if (companion != null) {
                 desk.loop.enter(companion::leaves);
             }
-            handover.leave();
+            handover.leave(companion == null ? () -> { } : companion::answered);
         }, "leave"));
         // guards against the end that SIGHUP is to a JVM by itself
         onHangUp(() -> {
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -115,7 +115,7 @@
                     between.shut(machine.id, true);
                     door.close();
                     door = null;
-                    wires.keySet().forEach(Wire::close);
+                    wires.keySet().forEach(this::drop);
                 } else if (machine.up() && door == null) {
                     door = new ServerSocket();
                     door.setReuseAddress(true);
@@ -134,8 +134,8 @@
                 try {
                     while (true) {
                         Wire w = new Wire(at.accept());
-                        wires.put(w, true);
                         synchronized (held) { // guards the order of the lines: each has the count of its own change
+                            wires.put(w, true);
                             between.tell("opened", "server", machine.id, "from", between.from(w.socket.getPort()), "held", held.incrementAndGet());
                         }
                         pool.execute(() -> talk(w));
@@ -148,7 +148,7 @@
 
         private void talk(Wire w) {
             Machine.Visit[] visit = new Machine.Visit[1];
-            try (w) {
+            try {
                 for (String[] words = w.words(); words != null; words = w.words()) {
                     String[] command = words;
                     live.post(() -> visit[0] = begin(w, command));
@@ -156,10 +156,7 @@
             } catch (IOException | RuntimeException e) {
                 // what can't be read ends its connection
             } finally {
-                wires.remove(w);
-                synchronized (held) {
-                    between.tell("closed", "server", machine.id, "from", between.from(w.socket.getPort()), "held", held.decrementAndGet());
-                }
+                drop(w);
                 live.post(() -> {
                     hopsFrom.remove(w.socket.getPort());
                     given.remove(w.socket.getPort());
@@ -174,6 +171,16 @@
             }
         }
 
+        /** Counted first: whoever sees the end may open another one at once. */
+        private void drop(Wire w) {
+            synchronized (held) {
+                if (wires.remove(w) != null) {
+                    between.tell("closed", "server", machine.id, "from", between.from(w.socket.getPort()), "held", held.decrementAndGet());
+                }
+            }
+            w.close();
+        }
+
         private Machine.Visit begin(Wire w, String[] words) {
             double now = live.agenda().now();
             Try t = tries.get(Long.parseUnsignedLong(words[2], 16));
@@ -212,10 +219,10 @@
                     switch (end) {
                         case GOOD -> w.say("*3\r\n$16\r\n" + words[2] + "\r\n$-1\r\n$-1\r\n");
                         case FULL -> w.say("-BUSY\r\n");
-                        default -> w.close();
+                        default -> drop(w);
                     }
                 } catch (IOException e) {
-                    w.close();
+                    drop(w);
                 }
             });
             if (oracle.arrives(machine, works, now, toldBorn == machine.born)) {
