--- a/fleet/src/main/java/tinford/fleet/budgets/Ledger.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Ledger.java
@@ -445,8 +445,10 @@
                 Holder h = e.getValue();
                 Pack.put(out, e.getKey());
                 out.writeDouble(h.told);
-                Pack.put(out, h.cells.size());
-                for (Map.Entry<Integer, Cell> c : h.cells.entrySet()) {
+                // Cells with nothing go at a time that a snapshot does not carry: they are left out, so that all members' are the same.
+                List<Map.Entry<Integer, Cell>> cells = h.cells.entrySet().stream().filter(c -> c.getValue().may > 0).toList();
+                Pack.put(out, cells.size());
+                for (Map.Entry<Integer, Cell> c : cells) {
                     Pack.put(out, c.getKey());
                     Pack.put(out, c.getValue().granted);
                     Pack.put(out, c.getValue().may);
--- a/fleet/src/main/java/tinford/fleet/budgets/Share.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Share.java
@@ -92,11 +92,13 @@
         return Math.max(0, open.getOrDefault(server, 0) - mayHold(server, now));
     }
 
-    /** Dispatches that an account may have out through this gateway; one at least. Where more accounts are awake than there are
-     * connections, most are granted none, though each asks for one only now and then: those meet at the connections, first come first served. */
+    /** Dispatches that an account may have out through this gateway. One that the ledger does not know yet may
+     * have one. */
     public int mayUse(long account, double now) {
         if (holds(now)) {
-            return Math.max(1, ledger.uses(life, account));
+            Ledger.Holder h = ledger.holders.get(life);
+            int least = h == null || !h.asked.containsKey(account) ? 1 : 0;
+            return Math.max(least, ledger.uses(life, account));
         }
         Want want = wants.get(account);
         return want == null ? 1 : Math.max(1, want.alone);
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -174,8 +174,9 @@
         return Math.max(1, Math.min(1000, Math.round(10 * c.plan.price))) << WEIGHT_AT | Math.floorMod(c.id, accounts);
     }
 
+    /** One at least: an account that was granted none meets the others at what connections there are. */
     int mayUse(long account, double now) {
-        return share.mayUse(account, now);
+        return Math.max(1, share.mayUse(account, now));
     }
 
     void wanted(long account, int dispatches) {
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/run/AgreedTest.java
@@ -0,0 +1,58 @@
+package tinford.fleet.run;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import org.testng.annotations.Test;
+import tinford.fleet.budgets.Ledger;
+import tinford.fleet.budgets.Statics;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Terms;
+import tinford.fleet.moves.Entry;
+
+/** Terms, budgets and moves in one log. */
+public class AgreedTest {
+    private static final Life LIFE = new Life(1, 5000);
+
+    private static Agreed agreed() {
+        return new Agreed(3, 3000, 100, 1000, new Statics(Map.of("s", 8), 0.5, 3), Map.of("f", "m"));
+    }
+
+    private static void fill(Agreed to) {
+        to.apply(3, Terms.renew(LIFE, 10_000, 3000));
+        to.apply(5, Ledger.offer("s", 0, 8, 10_010));
+        to.apply(6, Ledger.tell(LIFE, 10_020, 5, Map.of(7L, 2), Map.of()));
+    }
+
+    @Test
+    public void aSnapshotHoldsAll() {
+        Agreed first = agreed();
+        fill(first);
+        Agreed second = agreed();
+        second.restore(6, first.snapshot());
+        assertEquals(second.snapshot(), first.snapshot());
+        assertEquals(second.ledger.number("s"), 0);
+        assertEquals(second.ledger.last(), 6);
+        assertNotNull(second.terms.of(LIFE));
+        second.apply(7, Terms.renew(LIFE, 12_000, 3000));
+        first.apply(7, Terms.renew(LIFE, 12_000, 3000));
+        assertEquals(second.snapshot(), first.snapshot());
+    }
+
+    @Test
+    public void eachPartHasItsOwnEntries() {
+        Agreed all = agreed();
+        fill(all);
+        byte[] moves = all.moves.snapshot();
+        all.apply(8, new byte[] {Entry.MARK, 99, 1});
+        assertEquals(all.ledger.unknown(), 0, "what belongs to moves is not the ledger's");
+        assertEquals(all.ledger.last(), 6);
+        all.apply(9, new byte[] {120, 1});
+        all.apply(10, new byte[0]);
+        assertEquals(all.ledger.unknown(), 2);
+        assertEquals(all.moves.snapshot(), moves, "what moves can't read, and what others have, changes nothing there");
+        assertTrue(all.terms.mayAct(LIFE));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/run/OrdersTest.java
@@ -0,0 +1,62 @@
+package tinford.fleet.run;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What an operator wrote wrong is told with its place and what was expected. */
+public class OrdersTest {
+    private static List<String> faults(String text) {
+        try {
+            Orders.of("f.toml", text);
+            return List.of();
+        } catch (Orders.Refused e) {
+            return e.getMessage().lines().toList();
+        }
+    }
+
+    @DataProvider
+    public Object[][] bad() {
+        return new Object[][] {
+            {"[talk]\nevery_ms = 20", "f.toml, line 2: talk.every_ms: expected a number from 50 to 10000"},
+            {"[talk]\nfanout = \"two\"", "f.toml, line 2: talk.fanout: expected a number from 1 to 16"},
+            {"[talk]\nfanout = nan", "f.toml, line 2: talk.fanout: expected a number from 1 to 16"},
+            {"[overload]\n# how\non = 1", "f.toml, line 3: overload.on: expected true or false"},
+            {"[budgets]\nstatic_part = 1.5", "f.toml, line 2: budgets.static_part: expected a number from 0 to 1"},
+            {"[log]\nfolder = \" \"", "f.toml, line 2: log.folder: expected a folder that lasts"},
+            {"[log]\nmembers = [1, 2]", "f.toml, line 2: log.members: expected a list of numeric host:port, one a gateway"},
+            {"[log]\nmembers = [\"db:1\"]", "f.toml, line 2: log.members: expected numeric host:port, not db:1"},
+            {"[talk]\non = 1\n[budgets]\nofer = 2", "f.toml, line 4: budgets.ofer: expected no such key; there are"},
+            {"offer = 3", "f.toml, line 1: offer: expected to stand in a table"},
+            {"[budgets]\non = true", "f.toml: log.members: expected three or more, and log.folder, where budgets or moves are on"},
+            {"[talk]\nevery_ms = 1000\nsuspect_ms = 2000", "f.toml, line 3: talk.suspect_ms: expected three times talk.every_ms or more"},
+            {"[talk]\nevery_ms = = 3", "f.toml, line 2: expected TOML: "},
+            {"[talk]\nevery_ms = 100\nevery_ms = 200", "f.toml, line 3: expected TOML: "},
+        };
+    }
+
+    @Test(dataProvider = "bad")
+    public void eachFaultIsToldWithItsPlace(String text, String told) {
+        assertTrue(faults(text).stream().anyMatch(f -> f.startsWith(told)), faults(text).toString());
+    }
+
+    @Test
+    public void allFaultsAreToldAtOnce() {
+        assertEquals(faults("[talk]\nevery_ms = 1\nfanout = 0\n[log]\nterm_ms = 1\n[none]\nx = 1\n").size(), 4);
+        assertThrows(Orders.Refused.class, () -> Orders.read(Path.of("no", "such", "file")));
+    }
+
+    @Test
+    public void whatIsLeftOutIsAsUsual() throws Exception {
+        Orders o = Orders.of("f.toml", "[budgets]\noffer = 8\n");
+        assertEquals(o.number("budgets.offer"), 8.0);
+        assertEquals(o.number("log.term_ms"), 4000.0);
+        assertTrue(o.on("overload.on") && !o.on("budgets.on"));
+        assertEquals(o.texts("log.members"), List.of());
+    }
+}
--- a/lab/src/main/java/tinford/lab/fleet/FleetFigures.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetFigures.java
@@ -13,7 +13,7 @@
     private FleetFigures() { }
 
     /**
-     * Worth passed by its target of the worth asked inside quotas; dispatches a req; and seconds from the end of the last fault until for one whole
+     * Worth passed by its target of the worth asked inside quotas; dispatches a req; connections held at most by all servers at once; and seconds from the end of the last fault until for one whole
      * second nine tenths of what passed before the first fault passes again (-1: not by the end, or nothing to compare).
      */
     static Map<String, Double> of(List<History.Line> lines, FleetScript script, double began) {
@@ -22,9 +22,17 @@
         double dispatches = 0;
         double worth = 0;
         double passed = 0;
+        Map<String, Integer> held = new HashMap<>();
+        int all = 0;
+        int most = 0;
         for (History.Line l : lines) {
             switch (l.kind()) {
                 case "dispatch" -> dispatches++;
+                case "opened", "closed" -> {
+                    Integer before = held.put(l.text("server"), l.number("held"));
+                    all += l.number("held") - (before == null ? 0 : before);
+                    most = Math.max(most, all);
+                }
                 case "asked" -> {
                     asked.put(l.text("req"), l);
                     worth += value(l);
@@ -43,6 +51,7 @@
         Map<String, Double> figures = new TreeMap<>();
         figures.put("worth_passed", worth == 0 ? 0 : passed / worth);
         figures.put("dispatches_a_req", asked.isEmpty() ? 0 : dispatches / asked.size());
+        figures.put("held_most", (double) most);
         figures.put("as_before_s", asBefore(spans, script));
         return figures;
     }
