--- a/fleet/src/main/java/tinford/fleet/budgets/Share.java
+++ b/fleet/src/main/java/tinford/fleet/budgets/Share.java
@@ -69,7 +69,7 @@
     }
 
     /** Whether its grants count now, by its own clock. */
-    boolean holds(double now) {
+    public boolean holds(double now) {
         Term term = ledger.terms().of(life);
         return term != null && term.holds(now + margin);
     }
--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -19,6 +19,7 @@
 final class Fleet implements Companion {
     private static final System.Logger LOG = System.getLogger("tinford.fleet");
     private static final double TICK = 50;
+    private static final double MOST_LEAVING = 700; // two rounds, and the way through the log
     private static final int MOST_BYTES = 256;
     private static final int MOST_SOFT = 128;
     private static final int MOST_HARD = 1024;
@@ -35,6 +36,8 @@
     private FleetView view;
     private Hard hard; // null where nothing needs agreement
     private boolean led;
+    private boolean holds;
+    private int mayHold = -1; // at all servers
     private int seq;
     private double last;
     private int living = -1;
@@ -73,6 +76,9 @@
                     (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
         }
         history.add(now, "start");
+        if (hard != null) {
+            history.add(now, "term", "holds", false);
+        }
         LOG.log(Level.INFO, "one of a fleet of " + place.gateways + (talk == null ? "; the settings allow no talk" : ""));
         return view;
     }
@@ -102,6 +108,18 @@
             led = hard.leads();
             history.add(now, "leads", "on", led);
         }
+        if (hard != null) {
+            if (hard.holds(now) != holds) {
+                holds = !holds;
+                LOG.log(Level.INFO, holds ? "acts on its term" : "holds no term: the static share only");
+                history.add(now, "term", "holds", holds);
+            }
+            int may = hard.mayHold(now);
+            if (may != mayHold) {
+                mayHold = may;
+                history.add(now, "grant", "all", may);
+            }
+        }
         if (overload.threshold() > 0 != strained) {
             strained = !strained;
             LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
@@ -122,4 +140,17 @@
             hard.leaves();
         }
     }
+
+    @Override
+    public void answered() {
+        if (hard == null) {
+            return;
+        }
+        view.over();
+        try {
+            hard.awaitLeft(MOST_LEAVING);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -108,7 +108,7 @@
             if (companion != null) {
                 desk.loop.enter(companion::leaves);
             }
-            handover.leave();
+            handover.leave(companion == null ? () -> { } : companion::answered);
         }, "leave");
         Runtime.getRuntime().addShutdownHook(leave); // guards clients against a SIGTERM right behind the opening of the door
         try {
