A line is no work of chance: few that wait, a start and servers not reached make none

Waiting now counts beyond three standard deviations of chance, a line begins after 600 ms of strain, and a server that can't be reached is no failure of those that bear.

--- a/fleet/src/main/java/tinford/fleet/overload/Line.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Line.java
@@ -13,13 +13,15 @@
 public final class Line {
     private static final double NONE = Double.POSITIVE_INFINITY;
     private static final double WAIT_S = 0.05; // for a slot, on average: gateways' own limits are full; bursts stay below
+    private static final double CHANCE = 3; // standard deviations: with few reqs, one that waits is no strain
+    private static final double LASTS_MS = 600; // before a line begins: a start, or a burst, is over by then
     private static final double BAD = 0.25; // of what ended, late or failed: above one server in five that is ill
     private static final double SETTLE_MS = 400; // towards what is answered now: some rounds, or one bad one would set it
     private static final double AGREE_MS = 2000; // towards the others: slower than the growth, or their age would hold it back
     private static final double OPENED = 1.1; // borne over asked for: a line that would pass all but bursts is none
 
     private final double window;
-    private double bears = NONE, strainedAt, at = -1, openedAt = Double.NEGATIVE_INFINITY;
+    private double bears = NONE, strainedFor, strainedAt, at = -1, openedAt = Double.NEGATIVE_INFINITY;
     private double threshold, part = 1, asked;
 
     /** @param window in ms: without strain, the line is gone within two of them */
@@ -52,13 +54,14 @@
         // guards a gateway that hears nobody: its own sight is no fleet's, so it acts as alone
         if (known.living() <= 1 || known.fresh().size() < 2) {
             bears = NONE;
-                draw(null);
+            draw(null);
             return;
         }
         Totals all = new Totals(known);
         agree(known, passed);
-        boolean strained = all.demand > 0 && (all.waiting > WAIT_S * all.first || all.bad > BAD);
-        if (strained) {
+        boolean strained = all.demand > 0 && (waits(all) || all.bad > BAD);
+        strainedFor = Math.max(0, Math.min(LASTS_MS, strainedFor + (strained ? passed : -passed)));
+        if (strained && (bears != NONE || strainedFor >= LASTS_MS)) {
             strainedAt = now;
             double towards = Math.min(all.demand, all.goodUnits);
             bears = bears == NONE ? Math.max(towards, all.demand / 2)
@@ -74,6 +77,12 @@
         draw(all);
     }
 
+    // guards against a line out of chance that what it sheds keeps up: the fewer are passed, the less waits
+    private static boolean waits(Totals all) {
+        double usual = WAIT_S * all.first;
+        return all.waiting > usual + CHANCE * Math.sqrt(Math.max(1, usual));
+    }
+
     private void agree(Known known, double passed) {
         double[] told = known.fresh().stream().mapToDouble(s -> Totals.clean(s.bears))
                 .map(b -> b > 0 ? b : NONE).sorted().toArray();
--- a/fleet/src/main/java/tinford/fleet/overload/Own.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Own.java
@@ -61,8 +61,8 @@
                 if (!late) count(GOOD_UNITS, units);
             }
             case TIMED_OUT -> count(LATE, 1);
-            case ERROR, BROKEN, FULL, UNREACHABLE -> count(FAILED, 1);
-            default -> { }
+            case ERROR, BROKEN, FULL -> count(FAILED, 1);
+            default -> { } // not reached says nothing of what the others bear, and costs no further dispatch
         }
     }
 
