Staged moves run in the process: operator keys, orders by file, routing, records

`run.Mover` joins them to the I/O thread: it sees the stand and the own term after each applied entry, tells acks and reports, offers the next step once a second while its process leads, and answers where a req may go. `run.MoveOrders` holds the operator's keys (moves.homes, moves.rooms, moves.plan) against the settings, with all faults told; `run.OrderFile` takes begin, halt, resume and back from a file, once, off the I/O thread.

Found on the way: a life that the terms have forgotten could be missed by the wait for the repeat window, as moves went by the time stamps of their own entries only. They now see the log's time of all entries, and linger_ms must cover the longest window.

Terms are renewed where only moves are on, by the same round as with budgets; there a process counts its connections as well, so that it leaves only when none is open.

Weighed: reading `from` against the homes at load was ruled out, as after an earlier plan only the log knows where a frontend is.

--- a/fleet/src/main/java/tinford/fleet/moves/Moves.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Moves.java
@@ -102,6 +102,11 @@
         return before;
     }
 
+    /** The log's time by its other entries: a life that they have forgotten must be past for these rules too. */
+    public void seen(double logNow) {
+        this.logNow = Math.max(this.logNow, logNow);
+    }
+
     @Override
     public void apply(long index, byte[] entry) {
         try {
--- a/fleet/src/main/java/tinford/fleet/run/Agreed.java
+++ b/fleet/src/main/java/tinford/fleet/run/Agreed.java
@@ -46,6 +46,7 @@
     @Override
     public void apply(long index, byte[] entry) {
         if (entry.length > 0 && entry[0] == Entry.MARK) {
+            moves.seen(terms.now());
             moves.apply(index, entry);
         } else {
             ledger.apply(index, entry);
--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -34,6 +35,8 @@
     private Talk talk;
     private Overload overload;
     private FleetView view;
+    private final MoveOrders moves; // null where they are off
+    private Mover mover;
     private Hard hard; // null where nothing needs agreement
     private boolean led;
     private int seq;
@@ -41,7 +44,8 @@
     private int living = -1;
     private boolean strained;
 
-    Fleet(Orders orders, Handed handed, String historyPath) {
+    Fleet(Orders orders, MoveOrders moves, Handed handed, String historyPath) {
+        this.moves = moves;
         this.orders = orders;
         this.handed = handed;
         this.historyPath = historyPath;
@@ -66,10 +70,17 @@
                 new Random(handed.seed() + 1));
         try {
             if (orders.on("budgets.on") || orders.on("moves.on")) {
-                hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways), Map.of(), mailbox);
+                hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways),
+                        moves == null ? Map.of() : moves.homes(), mailbox);
             }
-            view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now);
             history = History.at(historyPath, life);
+            if (moves != null) {
+                mover = new Mover(hard.agreed, life, moves, hard::append, hard::left, history);
+                hard.applied = entry -> mover.applied(entry, now());
+                new OrderFile(Path.of(orders.text("log.folder")), mailbox, (line, then) -> mover.order(line, now(), then)).start();
+            }
+            view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, mover, hard,
+                    this::now);
             if (handed.mayTalk()) {
                 talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
                         (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
@@ -93,6 +104,9 @@
         if (hard != null) {
             hard.tick(now);
         }
+        if (mover != null) {
+            mover.tick(now, hard.leads());
+        }
         tell(now);
     }
 
--- a/fleet/src/main/java/tinford/fleet/run/FleetView.java
+++ b/fleet/src/main/java/tinford/fleet/run/FleetView.java
@@ -14,16 +14,30 @@
     private static final int MOST_ACCOUNTS = 20_000;
     private final View overload;
     private final Hard budgets;
+    private final Mover mover;
+    private final Hard log;
     private final DoubleSupplier clock;
     private final Map<Long, Integer> out = new HashMap<>(); // dispatches, by account
 
-    /** @param overload null where it is off; {@code budgets} likewise */
-    FleetView(View overload, Hard budgets, DoubleSupplier clock) {
+    /** @param overload null where it is off; {@code budgets}, {@code mover} likewise; {@code log} null where neither is on */
+    FleetView(View overload, Hard budgets, Mover mover, Hard log, DoubleSupplier clock) {
         this.overload = overload == null ? new View() : overload;
         this.budgets = budgets;
+        this.mover = mover;
+        this.log = log;
         this.clock = clock;
     }
 
+    @Override
+    public boolean mayGo(Req req, Srv srv, Srv first) {
+        return mover == null || mover.mayGo(req, srv, first, clock.getAsDouble());
+    }
+
+    @Override
+    public boolean goes(Req req) {
+        return mover == null || mover.goes(req, clock.getAsDouble());
+    }
+
     @Override
     public int mayHold(Srv srv) {
         return budgets == null ? Integer.MAX_VALUE : budgets.mayHold(srv, clock.getAsDouble());
@@ -44,15 +58,15 @@
 
     @Override
     public void opened(Srv srv) {
-        if (budgets != null) {
-            budgets.opened(srv);
+        if (log != null) {
+            log.opened(srv);
         }
     }
 
     @Override
     public void closed(Srv srv) {
-        if (budgets != null) {
-            budgets.closed(srv);
+        if (log != null) {
+            log.closed(srv);
         }
     }
 
@@ -108,6 +122,9 @@
     public void ended(Req req, Srv srv, End how, boolean late) {
         count(req, -1);
         overload.ended(req, srv, how, late);
+        if (mover != null) {
+            mover.ended(req, srv, how, late);
+        }
     }
 
     @Override
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import tinford.api.Srv;
 import tinford.fleet.budgets.Ledger;
 import tinford.fleet.budgets.Proposer;
@@ -38,6 +39,8 @@
     private final Map<String, Srv> servers = new LinkedHashMap<>();
     private volatile Log log;
     private boolean led;
+    /** Is told of each entry that was applied on the I/O thread, and of a snapshot as null. */
+    Consumer<byte[]> applied = entry -> { };
 
     Hard(Orders orders, Life life, int gateways, Statics statics, Map<String, String> homes, Mailbox mailbox) throws IOException {
         double term = orders.number("log.term_ms");
@@ -79,7 +82,10 @@
             @Override
             public void apply(long index, byte[] entry) {
                 kept.apply(index, entry);
-                post(() -> agreed.apply(index, entry));
+                post(() -> {
+                    agreed.apply(index, entry);
+                    applied.accept(entry);
+                });
             }
 
             @Override
@@ -90,7 +96,10 @@
             @Override
             public void restore(long index, byte[] snapshot) {
                 kept.restore(index, snapshot);
-                post(() -> agreed.restore(index, snapshot));
+                post(() -> {
+                    agreed.restore(index, snapshot);
+                    applied.accept(null);
+                });
             }
 
             private void post(Runnable what) {
--- a/fleet/src/main/java/tinford/fleet/run/History.java
+++ b/fleet/src/main/java/tinford/fleet/run/History.java
@@ -12,7 +12,8 @@
 import tinford.fleet.members.Life;
 
 /**
- * What this process did for the fleet, one JSON object a line: {@code at} (ms, wall clock), {@code mono} (ms), {@code gateway},
+ * What this process did for the fleet, one JSON object a line: {@code at} (ms, the clock that all
+ * processes of a machine share), {@code wall} (ms, its own clock), {@code gateway},
  * {@code life}, {@code kind} and its fields. Written by a thread of its own; what finds no room is counted and dropped.
  */
 public final class History implements AutoCloseable {
@@ -46,8 +47,8 @@
             return;
         }
         Map<String, Object> line = new LinkedHashMap<>();
-        line.put("at", now);
-        line.put("mono", System.nanoTime() / 1e6);
+        line.put("at", System.nanoTime() / 1e6);
+        line.put("wall", now);
         line.put("gateway", life.gateway());
         line.put("life", life.start());
         line.put("kind", kind);
--- a/fleet/src/main/java/tinford/fleet/run/Main.java
+++ b/fleet/src/main/java/tinford/fleet/run/Main.java
@@ -22,7 +22,9 @@
                 throw new IOException("environment, TINFORD_FLEET: expected the path of the fleet's operator file");
             }
             Handed handed = Handed.read(System.getenv("ROUTER_CONFIG"));
-            Fleet fleet = new Fleet(Orders.read(Path.of(file)), handed, System.getenv("TINFORD_HISTORY"));
+            Orders orders = Orders.read(Path.of(file));
+            MoveOrders moves = MoveOrders.read(file, orders, System.getenv("ROUTER_CONFIG"));
+            Fleet fleet = new Fleet(orders, moves, handed, System.getenv("TINFORD_HISTORY"));
             code = Serve.start(System.getenv(), System.err, Decide::new, fleet);
         } catch (Orders.Refused | IOException e) {
             e.getMessage().lines().forEach(l -> System.err.println("tinford: " + l));
--- /dev/null
+++ b/fleet/src/main/java/tinford/fleet/run/Mover.java
@@ -0,0 +1,234 @@
+package tinford.fleet.run;
+
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import tinford.api.End;
+import tinford.api.Req;
+import tinford.api.Srv;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Term;
+import tinford.fleet.moves.Entry;
+import tinford.fleet.moves.Moves;
+import tinford.fleet.moves.Plan;
+import tinford.fleet.moves.Route;
+import tinford.fleet.moves.Stand;
+import tinford.fleet.moves.Step;
+
+/**
+ * One process's part in staged moves: where its reqs go, what it tells the log, and what it offers while it leads. Called on the I/O
+ * thread only, after each applied entry and each tick. Holds {@link #MOST_SERVERS} servers and one order of an operator at most.
+ */
+final class Mover {
+    private static final System.Logger LOG = System.getLogger("tinford.fleet");
+    private static final int MOST_SERVERS = 1024;
+    private static final double EVERY = 500; // acks and reports
+    private static final double OFFERS = 1000;
+    private static final double PATIENCE = 10_000;
+    private final Agreed agreed;
+    private final Life life;
+    private final MoveOrders orders;
+    private final Consumer<byte[]> log;
+    private final BooleanSupplier left;
+    private final History history;
+    private final Route route;
+    private final Map<String, Srv> servers = new LinkedHashMap<>();
+    private double offered = Double.NEGATIVE_INFINITY;
+    private Stand told;
+    private double toldUntil = Double.NaN;
+    private boolean holds;
+    private long ackedTurn = -1;
+    private byte[] order;
+    private double orderEnds;
+    private Consumer<String> outcome;
+
+    /** @param left whether this process has left the fleet: from then on it acts on no term */
+    Mover(Agreed agreed, Life life, MoveOrders orders, Consumer<byte[]> log, BooleanSupplier left, History history) {
+        this.agreed = agreed;
+        this.life = life;
+        this.orders = orders;
+        this.log = log;
+        this.left = left;
+        this.history = history;
+        this.route = new Route(life, agreed.moves.stand(), EVERY);
+    }
+
+    private Term term() {
+        return left.getAsBoolean() ? null : agreed.terms.of(life);
+    }
+
+    /** After each entry, in order; {@code entry} is null after a snapshot. */
+    void applied(byte[] entry, double now) {
+        route.see(agreed.moves.stand(), term(), agreed.moves.acked(life));
+        if (entry == null || entry.length == 0 || entry[0] == Entry.MARK) {
+            if (order != null && Arrays.equals(order, entry)) {
+                over(agreed.moves.told());
+            }
+        }
+        watch(now);
+    }
+
+    void tick(double now, boolean leads) {
+        route.see(agreed.moves.stand(), term(), agreed.moves.acked(life));
+        watch(now);
+        Entry tells = route.tells(now);
+        if (tells != null) {
+            log.accept(tells.bytes());
+        }
+        if (order != null && now >= orderEnds) {
+            over("not seen in the log within " + Math.round(PATIENCE) + " ms; it may still come: look before ordering again");
+        }
+        if (leads && now >= offered + OFFERS) {
+            offer(now);
+        }
+    }
+
+    private void offer(double now) {
+        Stand s = agreed.moves.stand();
+        if (s.plan() != null && (s.state() == Moves.State.FORWARD || s.state() == Moves.State.BACK)) {
+            offered = now;
+            log.accept(Entry.go(now, s.turn(), s.position() + (s.state() == Moves.State.BACK ? -1 : 1), warm(s.plan(), now)).bytes());
+        }
+    }
+
+    /** Of each group that is gone to, in order of name: the part of it that is warm, by the sizes of its servers, of the units it has room for. */
+    private double[] warm(Plan plan, double now) {
+        double[] units = new double[plan.groups.size()];
+        int at = 0;
+        for (Map.Entry<String, Plan.Room> g : plan.groups.entrySet()) {
+            double all = 0;
+            double warm = 0;
+            for (Srv s : servers.values()) {
+                if (s.group.equals(g.getKey()) && s.state != Srv.State.REMOVED) {
+                    all += s.size;
+                    warm += s.state == Srv.State.UP && (s.born <= 0 || now - s.born >= orders.coldTime()) ? s.size : 0;
+                }
+            }
+            units[at++] = all > 0 ? g.getValue().units() * warm / all : 0;
+        }
+        return units;
+    }
+
+    /**
+     * An operator's line: {@code begin}, {@code halt NAME}, {@code resume NAME}, {@code back NAME}. A resume lifts the halt that this
+     * gateway's log shows now. Given twice, or at two gateways, the log takes it once.
+     *
+     * @param then is told what came of it, once
+     */
+    void order(String line, double now, Consumer<String> then) {
+        String[] words = line.strip().split("\\s+", 2);
+        String who = words.length > 1 ? words[1] : "";
+        boolean named = !who.isEmpty() && who.length() <= 64;
+        Entry e = switch (words[0]) {
+            case "begin" -> orders.plan() == null || who.length() > 64 ? null : Entry.begin(who, now, orders.plan());
+            case "halt" -> named ? Entry.halt(who, now) : null;
+            case "resume" -> named ? Entry.resume(who, now, agreed.moves.halts()) : null;
+            case "back" -> named ? Entry.back(who, now) : null;
+            default -> null;
+        };
+        if (e == null || order != null) {
+            String why = order != null ? "refused, another order is under way here" : words[0].equals("begin")
+                    ? "refused, moves.plan names no plan" : "refused, expected begin, halt NAME, resume NAME or back NAME, a name of 1 to 64 characters";
+            LOG.log(Level.WARNING, "moves.order: " + why);
+            then.accept(why);
+            return;
+        }
+        order = e.bytes();
+        orderEnds = now + PATIENCE;
+        outcome = what -> {
+            LOG.log(Level.INFO, "moves.order " + line.strip() + ": " + what);
+            history.add(now, "order", "line", line.strip(), "outcome", what);
+            then.accept(what);
+        };
+        log.accept(order);
+    }
+
+    private void over(String what) {
+        Consumer<String> to = outcome;
+        order = null;
+        outcome = null;
+        to.accept(what);
+    }
+
+    boolean mayGo(Req req, Srv srv, Srv first, double now) {
+        if (servers.size() < MOST_SERVERS) {
+            servers.putIfAbsent(srv.id, srv);
+        } else if (!servers.containsKey(srv.id)) {
+            servers.values().removeIf(s -> s.state == Srv.State.REMOVED);
+        }
+        return !left.getAsBoolean() && route.mayGo(req.frontend.name, req.customer.id, req.resent, srv.group, first == null ? null : first.group, now)
+                || !orders.homes().containsKey(req.frontend.name);
+    }
+
+    boolean goes(Req req, double now) {
+        String name = req.frontend.name;
+        Stand s = agreed.moves.stand();
+        if (!orders.homes().containsKey(name)) {
+            return true;
+        }
+        int at = s.plan() == null ? -1 : s.plan().index(name);
+        List<String> groups = at < 0 ? List.of(s.homes().getOrDefault(name, "")) : List.of(s.plan().frontends.get(at).from(), s.plan().frontends.get(at).to());
+        return !left.getAsBoolean() && groups.stream().anyMatch(g -> route.mayGo(name, req.customer.id, req.resent, g, null, now));
+    }
+
+    /** What was given up says nothing of its server. */
+    void ended(Req req, Srv srv, End how, boolean late) {
+        if (how != End.CANCELLED && how != End.VOID) {
+            route.ended(req.frontend.name, srv.group, how == End.GOOD && !late);
+        }
+    }
+
+    /** What changed for this process is told in its history, in the order in which it acts on it. */
+    private void watch(double now) {
+        Term term = term();
+        boolean has = term != null && term.holds(now);
+        double until = has ? term.until() : 0;
+        boolean again = has && !holds;
+        if (until != toldUntil) {
+            history.add(now, "term", "holds", has, "for", has ? until - now : 0);
+            toldUntil = until;
+            holds = has;
+        }
+        Stand s = agreed.moves.stand();
+        boolean turned = told == null || told.turn() != s.turn() || told.state() != s.state() || told.plan() != s.plan();
+        if (s.plan() != null && (turned || again)) {
+            stage(s, turned, now);
+        }
+        told = s;
+        if (s.plan() != null && agreed.moves.acked(life) && ackedTurn != s.turn()) {
+            ackedTurn = s.turn();
+            history.add(now, "acked", "move", s.plan().name, "turn", s.turn(), "stage", s.position());
+        }
+    }
+
+    private void stage(Stand s, boolean turned, double now) {
+        List<String> begun = new ArrayList<>();
+        List<String> moved = new ArrayList<>();
+        for (int i = 0; i < s.plan().frontends.size(); i++) {
+            Plan.Mover m = s.plan().frontends.get(i);
+            Step.Part part = s.step().parts().get(i);
+            if (told == null || told.plan() == null || !told.plan().name.equals(s.plan().name)) {
+                history.add(now, "plan", "move", s.plan().name, "frontend", m.name(), "needs", m.needs());
+            }
+            if (part.until() > 0) {
+                begun.add(m.name());
+            }
+            if (part.share() >= 1) {
+                moved.add(m.name());
+            }
+        }
+        history.add(now, "stage", "move", s.plan().name, "stage", s.position(), "turn", s.turn(), "state", s.state().name(), "begun", begun,
+                "moved", moved);
+        if (turned) {
+            LOG.log(Level.INFO, "moves, " + s.plan().name + ": " + s.state() + " at step " + s.position() + "; " + agreed.moves.told());
+        }
+        if (turned && (s.state() == Moves.State.DONE || s.state() == Moves.State.UNDONE)) {
+            history.add(now, "moved", "move", s.plan().name, "state", s.state().name(), "moved", moved);
+        }
+    }
+}
--- a/fleet/src/main/java/tinford/fleet/run/Orders.java
+++ b/fleet/src/main/java/tinford/fleet/run/Orders.java
@@ -50,6 +50,8 @@
         number("budgets.cap", 64, 1, 100_000);
         KEYS.put("moves.on", new Key("true or false", 0, 0, false));
         KEYS.put("moves.plan", new Key("a path", 0, 0, ""));
+        KEYS.put("moves.homes", new Key("a list of frontend=group, of all frontends that may ever move", 0, 0, List.of()));
+        KEYS.put("moves.rooms", new Key("a list of group=units a second,connections", 0, 0, List.of()));
     }
 
     private final Map<String, Object> values = new LinkedHashMap<>();
@@ -112,6 +114,9 @@
         if ((on("budgets.on") || on("moves.on")) && (texts("log.members").size() < 3 || text("log.folder").isEmpty())) {
             faults.add(at(file, text, "log", "members") + "log.members: expected three or more, and log.folder, where budgets or moves are on");
         }
+        if (on("moves.on") && texts("moves.homes").isEmpty()) {
+            faults.add(at(file, text, "moves", "homes") + "moves.homes: expected one or more where moves are on");
+        }
         for (String m : texts("log.members")) {
             if (!m.matches("[0-9.]+:[0-9]{1,5}")) {
                 faults.add(at(file, text, "log", "members") + "log.members: expected numeric host:port, not " + m);
--- /dev/null
+++ b/fleet/src/test/java/tinford/fleet/run/MoverTest.java
@@ -0,0 +1,326 @@
+package tinford.fleet.run;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import tinford.api.Customer;
+import tinford.api.Effect;
+import tinford.api.End;
+import tinford.api.Frontend;
+import tinford.api.Group;
+import tinford.api.Req;
+import tinford.api.Srv;
+import tinford.fleet.budgets.Statics;
+import tinford.fleet.members.Life;
+import tinford.fleet.members.Terms;
+import tinford.fleet.moves.Moves;
+import tinford.fleet.moves.Stand;
+import tinford.fleet.store.Log;
+import tinford.fleet.store.MemoryLogs;
+
+/** Three processes' parts over logs in memory, driven; gateways are killed, stopped and cut off in each stage. */
+public class MoverTest {
+    private static final double TERM = 2000;
+    private static final double APART = 50;
+    private static final double LINGER = 6000;
+    private static final String PLAN = """
+            plan = "p"
+            soak_ms = 1000
+            [bad]
+            margin = 0.1
+            answers = 50
+            [[frontends]]
+            name = "web"
+            from = "a"
+            to = "b"
+            needs = ["mid"]
+            shares = [0.5, 1.0]
+            units = 40.0
+            connections = 10
+            [[frontends]]
+            name = "mid"
+            from = "a"
+            to = "b"
+            needs = ["base"]
+            shares = [0.5, 1.0]
+            units = 40.0
+            connections = 10
+            [[frontends]]
+            name = "base"
+            from = "a"
+            to = "b"
+            shares = [1.0]
+            units = 20.0
+            connections = 10
+            """;
+    private static final String ORDERS = """
+            [log]
+            members = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]
+            folder = "x"
+            linger_ms = 6000
+            [moves]
+            on = true
+            plan = "%s"
+            homes = ["web=a", "mid=a", "base=a"]
+            rooms = ["a=100,100", "b=100,100"]
+            """;
+
+    private static Frontend frontend(String name) {
+        return new Frontend(name, 800, 2500, 1, 0, name.equals("mid") ? Effect.UNIQUED : Effect.REPLAYABLE, Group.ALL, 3000, false);
+    }
+
+    private static MoveOrders orders(String text, String plan) throws Exception {
+        Path file = Files.createTempFile("plan", ".toml");
+        try {
+            Files.writeString(file, plan);
+            return MoveOrders.of("f", Orders.of("f", text.formatted(file)),
+                    Map.of("web", frontend("web"), "mid", frontend("mid"), "base", frontend("base")), 0.2, 1000);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    /** One gateway's process: what is posted to its I/O thread waits while it stands still. */
+    private static final class Seat {
+        final ArrayDeque<Runnable> posted = new ArrayDeque<>();
+        Life life;
+        Agreed agreed;
+        Mover mover;
+        Log log;
+        boolean up;
+        boolean still;
+        double renews;
+    }
+
+    private static final class Fleet {
+        final MemoryLogs logs = new MemoryLogs(3, 10, 300, 2000, 64, 40, new Random(3));
+        final List<Seat> seats = List.of(new Seat(), new Seat(), new Seat());
+        final MoveOrders orders;
+        final List<String> told = new ArrayList<>();
+        double now = 1000;
+        boolean bad;
+
+        Fleet(MoveOrders orders) {
+            this.orders = orders;
+            for (int g = 0; g < 3; g++) {
+                start(g);
+            }
+        }
+
+        private Agreed agreed() {
+            return new Agreed(3, TERM, APART, LINGER, new Statics(Map.of(), 16, 0.5, 3), orders.homes());
+        }
+
+        void start(int g) {
+            Seat s = seats.get(g);
+            s.posted.clear();
+            s.life = new Life(g, (long) now);
+            s.agreed = agreed();
+            s.renews = 0;
+            s.up = true;
+            Agreed kept = agreed();
+            s.log = logs.open(g + 1, new Log.Reader() {
+                @Override
+                public void apply(long index, byte[] entry) {
+                    kept.apply(index, entry);
+                    s.posted.add(() -> {
+                        s.agreed.apply(index, entry);
+                        s.mover.applied(entry, now);
+                    });
+                }
+
+                @Override
+                public byte[] snapshot() {
+                    return kept.snapshot();
+                }
+
+                @Override
+                public void restore(long index, byte[] snapshot) {
+                    kept.restore(index, snapshot);
+                    s.posted.add(() -> {
+                        s.agreed.restore(index, snapshot);
+                        s.mover.applied(null, now);
+                    });
+                }
+            });
+            try {
+                s.mover = new Mover(s.agreed, s.life, orders, s.log::append, () -> false, History.at(null, s.life));
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }
+
+        void step() {
+            now += 50;
+            logs.advance(now);
+            for (Seat s : seats) {
+                if (!s.up || s.still) {
+                    continue;
+                }
+                for (Runnable r = s.posted.poll(); r != null; r = s.posted.poll()) {
+                    r.run();
+                }
+                if (now >= s.renews) {
+                    s.renews = now + TERM / 3;
+                    s.log.append(Terms.renew(s.life, now, TERM));
+                }
+                s.mover.tick(now, s.log.leads());
+                load(s);
+            }
+            promise();
+        }
+
+        private void load(Seat s) {
+            for (String f : List.of("web", "mid", "base")) {
+                for (String group : List.of("a", "b")) {
+                    Srv srv = new Srv(group);
+                    srv.group = group;
+                    srv.size = 1;
+                    srv.state = Srv.State.UP;
+                    Req req = new Req(1, frontend(f), new Customer((long) (now / 50), null, 1, 0), 0, 1, false);
+                    boolean goes = s.mover.mayGo(req, srv, null, now);
+                    assertTrue(!goes || s.mover.goes(req, now), f);
+                    if (goes) {
+                        s.mover.ended(req, srv, bad && group.equals("b") ? End.ERROR : End.GOOD, false);
+                        s.mover.ended(req, srv, End.CANCELLED, true);
+                    }
+                }
+            }
+        }
+
+        private boolean goes(Seat s, String frontend, long customer, String group) {
+            Srv srv = new Srv("promise " + group);
+            srv.group = group;
+            return s.mover.mayGo(new Req(1, frontend(frontend), new Customer(customer, null, 1, 0), 0, 1, false), srv, null, now);
+        }
+
+        /** Of those whose term holds now: one stage apart at most, and nobody goes where what it needs is not wholly at any of them. */
+        private void promise() {
+            List<Seat> acting = seats.stream().filter(s -> s.up && s.agreed.terms.of(s.life) != null && s.agreed.terms.of(s.life).holds(now)).toList();
+            String[] chain = {"web", "mid", "base"};
+            for (Seat s : acting) {
+                for (Seat o : acting) {
+                    assertTrue(Math.abs(s.agreed.moves.stand().turn() - o.agreed.moves.stand().turn()) <= 1, now + " " + s.life + " " + o.life);
+                    for (int f = 0; f < 2; f++) {
+                        int of = f;
+                        boolean begun = java.util.stream.LongStream.range(0, 8).anyMatch(c -> goes(s, chain[of], c, "b"));
+                        boolean old = java.util.stream.LongStream.range(0, 8).anyMatch(c -> goes(o, chain[of + 1], c, "a"));
+                        assertTrue(!begun || !old, now + ": " + chain[f] + " has moved at " + s.life + ", " + chain[f + 1] + " not at " + o.life);
+                    }
+                }
+            }
+        }
+
+        Moves.State until(Moves.State... ends) {
+            for (int i = 0; i < 4000; i++) {
+                step();
+                Moves.State state = seats.get(0).agreed.moves.stand().state();
+                if (List.of(ends).contains(state)) {
+                    return state;
+                }
+            }
+            throw new AssertionError("at " + seats.get(0).agreed.moves.stand().position() + ": " + seats.get(0).agreed.moves.told());
+        }
+
+        /** As whoever is farthest sees it. */
+        Stand head() {
+            return seats.stream().map(s -> s.agreed.moves.stand()).max(java.util.Comparator.comparingLong(Stand::turn)).orElseThrow();
+        }
+
+        int position() {
+            return head().position();
+        }
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return new Object[][] {{"none"}, {"kill"}, {"still"}, {"cut"}};
+    }
+
+    /** Two operators begin at once at two gateways; in each step one gateway fails; the move ends whole. A bad group turns it back. */
+    @Test(dataProvider = "faults")
+    public void aMoveEnds(String fault) throws Exception {
+        Fleet f = new Fleet(orders(ORDERS, PLAN));
+        for (int i = 0; i < 40; i++) {
+            f.step();
+        }
+        f.seats.get(0).mover.order("begin one", f.now, f.told::add);
+        f.seats.get(1).mover.order("begin two", f.now, f.told::add);
+        f.seats.get(1).mover.order("what", f.now, f.told::add);
+        for (int i = 0; i < 20; i++) {
+            f.step();
+        }
+        int steps = -1;
+        for (int i = 0; i < 6000 && f.head().state() != Moves.State.DONE; i++) {
+            f.step();
+            Seat victim = f.seats.get(f.position() % 3);
+            int g = victim.life.gateway();
+            if (f.position() != steps && !fault.equals("none")) {
+                steps = f.position();
+                switch (fault) {
+                    case "kill" -> {
+                        f.logs.stop(g + 1);
+                        victim.up = false;
+                    }
+                    case "still" -> victim.still = true;
+                    default -> {
+                        f.logs.cut(g + 1, (g + 1) % 3 + 1);
+                        f.logs.cut(g + 1, (g + 2) % 3 + 1);
+                    }
+                }
+                for (int k = 0; k < 30 + 10 * (steps % 4); k++) { // some past the term, some not
+                    f.step();
+                }
+                if (fault.equals("kill")) {
+                    f.start(g);
+                }
+                victim.still = false;
+                f.logs.heal();
+            }
+        }
+        assertEquals(f.head().state(), Moves.State.DONE, f.seats.get(0).agreed.moves.told());
+        assertEquals(f.told.stream().filter(t -> t.contains("begun")).count(), 1, f.told.toString());
+        assertEquals(f.told.stream().filter(t -> t.contains("refused")).count(), 2, f.told.toString());
+        for (int i = 0; i < 100; i++) {
+            f.step();
+        }
+        assertTrue(f.goes(f.seats.get(2), "web", 5, "b") && !f.goes(f.seats.get(2), "web", 5, "a"));
+        f.seats.get(2).mover.order("back three", f.now, f.told::add);
+        f.until(Moves.State.UNDONE);
+        f.bad = true;
+        f.seats.get(1).mover.order("begin four", f.now, f.told::add);
+        f.until(Moves.State.FORWARD);
+        assertEquals(f.until(Moves.State.DONE, Moves.State.UNDONE), Moves.State.UNDONE);
+        assertTrue(f.goes(f.seats.get(0), "base", 5, "a"));
+    }
+
+    @DataProvider
+    public Object[][] bad() {
+        return new Object[][] {
+            {ORDERS.replace("web=a", "wub=a"), PLAN, "moves.homes: expected"}, {ORDERS.replace("a=100,100", "a=much"), PLAN, "moves.rooms: expected"},
+            {ORDERS.replace("linger_ms = 6000", "linger_ms = 5000"), PLAN, "log.linger_ms: expected 5500"},
+            {ORDERS.replaceAll("homes.*", ""), PLAN, "moves.homes: expected one"}, {ORDERS, PLAN.replace("soak_ms = 1000", "soak_ms = -1"), "soak_ms"},
+            {ORDERS, "plan = ", "TOML"}, {ORDERS.replace("%s", "nowhere"), PLAN, "moves.plan: expected a file"},
+        };
+    }
+
+    @Test(dataProvider = "bad")
+    public void badOrdersAreTold(String orders, String plan, String told) throws Exception {
+        String said = "";
+        try {
+            orders(orders, plan);
+        } catch (Orders.Refused e) {
+            said = e.getMessage();
+        }
+        assertTrue(said.contains(told), said);
+    }
+}
