--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import tinford.api.Srv;
 import tinford.fleet.budgets.Ledger;
 import tinford.fleet.budgets.Proposer;
@@ -56,6 +57,8 @@
     private final FileChannel lock; // held for this life: one that nobody holds is closed, and its lock goes with it
     private volatile Log log;
     private boolean led;
+    /** Is told of each entry that was applied on the I/O thread, and of a snapshot as null. */
+    Consumer<byte[]> applied = entry -> { };
 
     Hard(Orders orders, Life life, int gateways, Statics statics, Map<String, String> homes, Mailbox mailbox) throws IOException {
         double term = orders.number("log.term_ms");
@@ -99,7 +102,10 @@
             @Override
             public void apply(long index, byte[] entry) {
                 kept.apply(index, entry);
-                post(() -> agreed.apply(index, entry));
+                post(() -> {
+                    agreed.apply(index, entry);
+                    applied.accept(entry);
+                });
             }
 
             @Override
@@ -110,7 +116,10 @@
             @Override
             public void restore(long index, byte[] snapshot) {
                 kept.restore(index, snapshot);
-                post(() -> agreed.restore(index, snapshot));
+                post(() -> {
+                    agreed.restore(index, snapshot);
+                    applied.accept(null);
+                });
             }
 
             private void post(Runnable what) {
@@ -161,6 +170,11 @@
         }
     }
 
+    /** Whether its share was told as left: nothing more is asked of the log. */
+    boolean left() {
+        return share.left();
+    }
+
     boolean leads() {
         return led;
     }
