--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -67,7 +67,8 @@
         mailbox = new Mailbox(MOST_SOFT, MOST_HARD, what -> enter.accept(what::run));
         double every = orders.number("talk.every_ms");
         double suspect = orders.number("talk.suspect_ms");
-        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect, new Random(handed.seed()));
+        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect,
+                new Random(handed.seed()));
         overload = new Overload(now, life, orders.number("overload.window_ms"), orders.number("overload.further_part"),
                 new Random(handed.seed() + 1));
         if (orders.on("budgets.on") || orders.on("moves.on")) {
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -25,7 +25,10 @@
 import tinford.fleet.store.RaftLog;
 import tinford.routing.Addresses;
 
-/** The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then on. */
+/**
+ * The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then
+ * on.
+ */
 final class Hard {
     private static final System.Logger LOG = System.getLogger("tinford.fleet");
     private static final double ROUND = 250; // entries of a gateway come no faster than two in this time
--- a/fleet/src/main/java/tinford/fleet/run/Orders.java
+++ b/fleet/src/main/java/tinford/fleet/run/Orders.java
@@ -76,7 +76,8 @@
         try {
             tree = new TomlMapper().readTree(text);
         } catch (JsonProcessingException e) {
-            throw new Refused(List.of(file + ", line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": expected TOML: "
+            throw new Refused(List.of(file + ", line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr())
+                    + ": expected TOML: "
                     + e.getOriginalMessage()));
         }
         for (Iterator<Map.Entry<String, JsonNode>> tables = tree.fields(); tables.hasNext();) {
@@ -113,7 +114,8 @@
             faults.add(at(file, text, "talk", "suspect_ms") + "talk.suspect_ms: expected three times talk.every_ms or more");
         }
         if ((on("budgets.on") || on("moves.on")) && (texts("log.members").size() < 3 || text("log.folder").isEmpty())) {
-            faults.add(at(file, text, "log", "members") + "log.members: expected three or more, and log.folder, where budgets or moves are on");
+            faults.add(at(file, text, "log", "members")
+                    + "log.members: expected three or more, and log.folder, where budgets or moves are on");
         }
         if (on("moves.on") && texts("moves.homes").isEmpty()) {
             faults.add(at(file, text, "moves", "homes") + "moves.homes: expected one or more where moves are on");
