Stores broken on purpose are made of the one in memory that the tests have

The place of MemoryStoreTest stood again in BrokenStoresTest, 20 lines to the letter. It is a class now, and the broken one overrides what it breaks.

--- a/fleet/src/test/java/tinford/fleet/store/BrokenStoresTest.java
+++ b/fleet/src/test/java/tinford/fleet/store/BrokenStoresTest.java
@@ -22,10 +22,10 @@
 
         @Override
         Place place() {
-            MemoryStore.Platter platter = new MemoryStore.Platter();
-            Store right = new MemoryStore(platter, LARGEST, wrong == Wrong.TRUSTS_THE_FUTURE ? Double.MAX_VALUE : AHEAD);
-            Place under = new MemoryStoreTest().place();
-            return new Place() {
+            return new MemoryStoreTest.InMemory() {
+                private final Store right =
+                        new MemoryStore(platter, LARGEST, wrong == Wrong.TRUSTS_THE_FUTURE ? Double.MAX_VALUE : AHEAD);
+
                 @Override
                 public Store open() {
                     return new Store() {
@@ -71,27 +71,10 @@
                     };
                 }
 
-                @Override
-                public byte[] bytes() {
-                    return platter.bytes();
-                }
-
-                @Override
-                public void bytes(byte[] now) {
-                    platter.bytes(now);
-                }
-
-                @Override
-                public boolean ail(MemoryStore.Fault fault) {
-                    platter.fault(fault);
-                    return true;
-                }
-
                 @Override
                 public boolean killedWrite(byte[] content, double now, int step) throws IOException {
                     if (step > 0) {
-                        open().write(content, now);
-                        return under.killedWrite(content, now, step);
+                        return super.killedWrite(content, now, step);
                     }
                     byte[] sealed = Sealed.seal(content, now);
                     byte[] old = platter.bytes();
--- a/fleet/src/test/java/tinford/fleet/store/MemoryStoreTest.java
+++ b/fleet/src/test/java/tinford/fleet/store/MemoryStoreTest.java
@@ -7,39 +7,43 @@
 
 /** The store in memory keeps the contract, and its faults show. */
 public class MemoryStoreTest extends StoreContract {
-    @Override
-    Place place() {
-        MemoryStore.Platter platter = new MemoryStore.Platter();
-        return new Place() {
-            @Override
-            public Store open() {
-                return new MemoryStore(platter, LARGEST, AHEAD);
-            }
-
-            @Override
-            public byte[] bytes() {
-                return platter.bytes();
-            }
-
-            @Override
-            public void bytes(byte[] now) {
-                platter.bytes(now);
-            }
-
-            @Override
-            public boolean ail(MemoryStore.Fault fault) {
-                platter.fault(fault);
-                return true;
+    /** A platter and its store. */
+    static class InMemory implements Place {
+        final MemoryStore.Platter platter = new MemoryStore.Platter();
+
+        @Override
+        public Store open() {
+            return new MemoryStore(platter, LARGEST, AHEAD);
+        }
+
+        @Override
+        public byte[] bytes() {
+            return platter.bytes();
+        }
+
+        @Override
+        public void bytes(byte[] now) {
+            platter.bytes(now);
+        }
+
+        @Override
+        public boolean ail(MemoryStore.Fault fault) {
+            platter.fault(fault);
+            return true;
+        }
+
+        @Override
+        public boolean killedWrite(byte[] content, double now, int step) throws IOException {
+            if (step > 0) {
+                open().write(content, now);
             }
+            return step == 0;
+        }
+    }
 
-            @Override
-            public boolean killedWrite(byte[] content, double now, int step) throws IOException {
-                if (step > 0) {
-                    open().write(content, now);
-                }
-                return step == 0;
-            }
-        };
+    @Override
+    Place place() {
+        return new InMemory();
     }
 
     @Test
