A stand-in's fault ends no run's wait: it is told among what was broken

Seen: a run on sockets that waited for good, its thread of stand-ins gone with an exception (Live.run had no guard), so that the figures posted to it never came. Each thing posted is guarded now and its fault told by Bench.broken.

--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -703,6 +703,7 @@
     /** The rules that were broken, each with the story of a req. */
     public List<String> broken() {
         List<String> all = new ArrayList<>(strange);
+        all.addAll(live.faults());
         all.addAll(oracle.broken());
         return all;
     }
--- a/lab/src/main/java/tinford/lab/sockets/Live.java
+++ b/lab/src/main/java/tinford/lab/sockets/Live.java
@@ -1,6 +1,8 @@
 package tinford.lab.sockets;
 
 import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import tinford.lab.model.Agenda;
 
 /** An agenda that keeps to the wall clock, on a thread of its own; all that the stand-ins know belongs to that thread. */
@@ -10,6 +12,8 @@
     private final double began = agenda.now();
     private final ArrayDeque<Runnable> posted = new ArrayDeque<>();
     private final Thread thread = new Thread(this::run, "stand-ins");
+    private static final int MOST_FAULTS = 20;
+    private final List<String> faults = new CopyOnWriteArrayList<>();
     private boolean closed;
 
     Live() {
@@ -33,7 +37,7 @@
 
     private void run() {
         while (true) {
-            agenda.run(now());
+            guarded(() -> agenda.run(now()));
             Runnable next;
             synchronized (this) {
                 if (closed) {
@@ -51,12 +55,27 @@
                 }
             }
             if (next != null) {
-                agenda.run(now()); // guards its times: they count from now, however long ago the agenda was looked at
-                next.run();
+                guarded(() -> agenda.run(now())); // guards its times: they count from now, however long ago the agenda was looked at
+                guarded(next);
             }
         }
     }
 
+    /** Guards a run against a stand-in's fault, which would leave it waiting for good; it is told at the end. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            if (faults.size() < MOST_FAULTS) {
+                faults.add("a stand-in failed: " + e + " at " + e.getStackTrace()[0]);
+            }
+        }
+    }
+
+    List<String> faults() {
+        return faults;
+    }
+
     @Override
     public synchronized void close() {
         closed = true;
