--- a/fleet/src/test/java/tinford/fleet/run/OrdersTest.java
+++ b/fleet/src/test/java/tinford/fleet/run/OrdersTest.java
@@ -51,6 +51,16 @@
         assertThrows(Orders.Refused.class, () -> Orders.read(Path.of("no", "such", "file")));
     }
 
+    /** The example that operators start from loads, and what it names is what is used where it is left out. */
+    @Test
+    public void theExampleLoads() throws Exception {
+        Orders example = Orders.read(Path.of("..", "deploy", "fleet.toml"));
+        Orders empty = Orders.of("f.toml", "");
+        for (String key : List.of("talk.every_ms", "overload.further_part", "log.term_ms", "budgets.offer", "budgets.accounts")) {
+            assertEquals(example.number(key), empty.number(key), key);
+        }
+    }
+
     @Test
     public void whatIsLeftOutIsAsUsual() throws Exception {
         Orders o = Orders.of("f.toml", "[budgets]\noffer = 8\n");
