--- a/fleet/src/test/java/tinford/fleet/run/AgreedTest.java
+++ b/fleet/src/test/java/tinford/fleet/run/AgreedTest.java
@@ -45,6 +45,7 @@
     public void eachPartHasItsOwnEntries() {
         Agreed all = agreed();
         fill(all);
+        all.apply(7, new byte[] {Entry.MARK, 99, 1}); // from each of their own entries on moves have the log's time
         byte[] moves = all.moves.snapshot();
         all.apply(8, new byte[] {Entry.MARK, 99, 1});
         assertEquals(all.ledger.unknown(), 0, "what belongs to moves is not the ledger's");
