--- a/lab/src/main/java/tinford/lab/Lab.java
+++ b/lab/src/main/java/tinford/lab/Lab.java
@@ -18,12 +18,17 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import tinford.Decide;
 import tinford.api.Gateway;
+import tinford.lab.fleet.FleetBench;
+import tinford.lab.fleet.FleetScript;
+import tinford.lab.fleet.Program;
 import tinford.lab.model.Outcome;
 import tinford.lab.model.World;
 import tinford.lab.scenario.Scenario;
 import tinford.lab.scenario.Trace;
 import tinford.lab.sockets.Bench;
+import tinford.lab.sockets.Between;
 import tinford.lab.study.Plot;
 import tinford.lab.study.Study;
 import tinford.lab.study.Versions;
@@ -31,7 +36,8 @@
 /** The laboratory's command line. Exit codes: 0 done, 1 a rule was broken, 2 wrong words, 3 bad input. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "tinford lab 0.1",
         description = "Tries the decisions of tinford in a model of clients, servers and counter.",
-        subcommands = {Lab.Run.class, Lab.Compare.class, Lab.Sweep.class, Lab.Record.class, Lab.Sockets.class})
+        subcommands = {Lab.Run.class, Lab.Compare.class, Lab.Sweep.class, Lab.Record.class, Lab.Sockets.class,
+                Lab.Fleet.class})
 public final class Lab {
     static final int RULE_BROKEN = 1;
     static final int BAD_INPUT = 3;
@@ -330,4 +336,61 @@
             return broken.isEmpty() ? rules(model) : RULE_BROKEN;
         }
     }
+
+    @Command(name = "fleet", mixinStandardHelpOptions = true,
+            description = "Real gateways on loopback under a script of faults, with links between all; judged by their histories.")
+    static final class Fleet implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "SCRIPT", description = "a script of faults (docs/lab.md)")
+        Path script;
+
+        @Option(names = "--gateways", defaultValue = "5", description = "(${DEFAULT-VALUE})")
+        int gateways;
+
+        @Option(names = "--jar", required = true, description = "the program: java -jar JAR serve")
+        Path jar;
+
+        @Option(names = "--java", paramLabel = "WORD", description = "a word for java, such as -Dtinford.clock.offset_ms=300; may hold {number}")
+        List<String> java = new ArrayList<>();
+
+        @Option(names = "--operator", description = "a template of the operator files; {number}, {gateways}, {disk}, {peer_listen}, "
+                + "{peers}, {member_listen} and {members} are filled in")
+        Path operator;
+
+        @Option(names = "--free-peers", description = "the gateway's own peer socket stays shut: the program uses the address otherwise")
+        boolean freePeers;
+
+        @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})")
+        long seed;
+
+        @Option(names = "--out", required = true, description = "a folder for configurations, disks, logs and histories")
+        Path to;
+
+        @Spec
+        CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            if (gateways < 1 || gateways > 64) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "--gateways from 1 to 64");
+            }
+            FleetScript read = FleetScript.read(script);
+            Scenario s = read.scenario(script, gateways);
+            World drawn = new World(s, seed, Decide::new);
+            drawn.run();
+            List<String> words = new ArrayList<>(Between.JAVA);
+            words.addAll(java);
+            words.addAll(List.of("-jar", jar.toString(), "serve"));
+            String template = operator == null ? null : Files.readString(operator);
+            Program program = new Program(words, Map.of(), template == null ? null : seat -> seat.fill(template), !freePeers);
+            try (FleetBench bench = new FleetBench(read, s, program, seed, to)) {
+                PrintWriter out = spec.commandLine().getOut();
+                bench.run(drawn.asked()).forEach((f, v) -> out.printf(Locale.ROOT, "%-18s %12.4f%n", f, v));
+                List<String> broken = bench.broken();
+                out.println(broken.isEmpty() ? "no rule and no promise broken" : broken.size() + " broken; the first:");
+                broken.stream().limit(5).forEach(b -> out.println("  " + b));
+                out.flush();
+                return broken.isEmpty() ? 0 : RULE_BROKEN;
+            }
+        }
+    }
 }
--- /dev/null
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -0,0 +1,204 @@
+package tinford.lab.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import tinford.lab.model.Streams;
+import tinford.lab.scenario.Scenario;
+import tinford.lab.scenario.Trace;
+import tinford.lab.sockets.Bench;
+import tinford.lab.sockets.Between;
+
+/** A fleet of real processes on loopback under a script of faults, with a link between any two parties, and the histories of all. */
+public final class FleetBench implements AutoCloseable {
+    private final FleetScript script;
+    private final Program program;
+    private final Path folder;
+    private final List<Path> histories = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final History history;
+    private final Processes processes;
+    private final Links links;
+    private final Bench bench;
+    private final Troubles troubles;
+    private final Parties parties = new Parties();
+    private volatile double began; // by the clock of the histories
+
+    /** What is wrong is done to links and processes; what the bench's stand-ins meet goes through them. */
+    private final class Parties implements Between, Troubles.Fleet {
+        @Override
+        public Process start(int gateway, Path config, Path log) throws IOException {
+            Path its = processes.of(gateway);
+            Path lines = its.resolve("history-" + System.currentTimeMillis() + ".jsonl");
+            histories.add(lines);
+            Map<String, String> environment = new TreeMap<>(program.environment());
+            environment.put("ROUTER_CONFIG", config.toString());
+            environment.put("TINFORD_HISTORY", lines.toString());
+            Program.Seat seat = seat(gateway);
+            if (program.operator() != null) {
+                Path file = its.resolve("fleet.json");
+                Files.writeString(file, program.operator().text(seat));
+                environment.put("TINFORD_FLEET", file.toString());
+            }
+            tell("started", "who", gateway);
+            return processes.start(gateway, program.words().stream().map(seat::fill).toList(), environment, log);
+        }
+
+        @Override
+        public int server(int gateway, String server, int port) {
+            return links.server(gateway, server, port);
+        }
+
+        @Override
+        public int counter(int gateway, int port) {
+            return links.counter(gateway, port);
+        }
+
+        @Override
+        public void configure(int gateway, Map<String, Object> config, Map<String, Object> limits) throws IOException {
+            config.put("peer_listen", links.peerListen(gateway));
+            config.put("peers", links.peers(gateway));
+            config.put("peers_all", links.peersAll(gateway));
+            limits.put("Peers", program.peers());
+        }
+
+        @Override
+        public int from(int port) {
+            return links.from(port);
+        }
+
+        @Override
+        public void shut(String server, boolean on) {
+            links.shut(server, on);
+        }
+
+        @Override
+        public void tell(String kind, Object... fields) {
+            history.tell(kind, fields);
+        }
+
+        @Override
+        public void pause(int gateway, boolean on) {
+            bench.paused(gateway, on);
+            quietly(() -> processes.signal(gateway, on ? "STOP" : "CONT"));
+        }
+
+        @Override
+        public void end(int gateway) {
+            bench.end(gateway);
+        }
+
+        @Override
+        public void copyDisk(int gateway) {
+            quietly(() -> processes.copyDisk(gateway));
+        }
+
+        @Override
+        public void disk(int gateway, FleetScript.Disk found) {
+            quietly(() -> processes.give(gateway, found));
+        }
+
+        @Override
+        public void links(FleetScript.Fault f, Collection<Integer> who, Collection<Integer> to, boolean on) {
+            links.between(who, to, f.impairment(), on, f.both());
+        }
+
+        @Override
+        public void servers(FleetScript.Fault f, Collection<Integer> who, Collection<String> which, boolean on) {
+            links.servers(who, which, f.impairment(), on, f.both());
+        }
+
+        @Override
+        public void counter(FleetScript.Fault f, Collection<Integer> who, boolean on) {
+            links.counter(who, f.impairment(), on, f.both());
+        }
+
+        private void quietly(LinkLoop.Step what) {
+            try {
+                what.run();
+            } catch (IOException e) {
+                tell("harness failed", "why", e.toString());
+            }
+        }
+    }
+
+    /**
+     * @param s the script's scenario, with as many gateways as there are to be
+     * @param folder for configurations, disks, logs and histories
+     */
+    public FleetBench(FleetScript script, Scenario s, Program program, long seed, Path folder) throws IOException {
+        this.script = script;
+        this.program = program;
+        this.folder = Files.createDirectories(folder);
+        Path lines = folder.resolve("stand-ins.jsonl");
+        history = new History(lines);
+        histories.add(lines);
+        processes = new Processes(folder);
+        try {
+            links = new Links(s.gateways(), seed, this::left);
+            bench = new Bench(s, seed, parties, folder);
+        } catch (IOException | UncheckedIOException e) {
+            processes.close();
+            throw e;
+        }
+        troubles = new Troubles(bench, parties, new Streams(seed).of("fleet faults"));
+        bench.onBegin(from -> {
+            began = System.nanoTime() / 1e6 + 200;
+            parties.tell("begun");
+            if (script.offer() > 0) {
+                bench.machines().forEach(m -> parties.tell("offer", "server", m.id, "offer", script.offer()));
+            }
+            bench.post(() -> troubles.set(script, from));
+        });
+    }
+
+    private void left(int port) {
+        Bench b = bench;
+        if (b != null) {
+            b.left(port);
+        }
+    }
+
+    /** Where a gateway sits: all addresses that it is told are those of links. */
+    public Program.Seat seat(int gateway) throws IOException {
+        return new Program.Seat(gateway, bench.gateways(), processes.of(gateway), processes.disk(gateway), links.peerListen(gateway),
+                links.peers(gateway), links.memberListen(gateway), links.members(gateway));
+    }
+
+    /** Plays the trace to its end; the figures of the bench, and those of the fleet. */
+    public Map<String, Double> run(Trace trace) throws IOException, InterruptedException {
+        Map<String, Double> figures = new TreeMap<>(bench.run(trace));
+        figures.putAll(FleetFigures.of(history(), script, began));
+        return figures;
+    }
+
+    /** All that was written down so far, by all, in the order of time. */
+    public List<History.Line> history() throws IOException {
+        return History.read(List.copyOf(histories));
+    }
+
+    /** What was broken: the promises by the histories, and the five rules by the oracle. */
+    public List<String> broken() throws IOException {
+        List<String> all = new ArrayList<>(bench.broken());
+        Judge judge = Judge.of(script);
+        history().forEach(judge::see);
+        judge.breaches().forEach(b -> all.add(b.story(began)));
+        return all;
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            processes.close();
+        } finally {
+            bench.close();
+            links.close();
+            history.close();
+        }
+    }
+}
--- a/lab/src/main/java/tinford/lab/model/Machine.java
+++ b/lab/src/main/java/tinford/lab/model/Machine.java
@@ -61,6 +61,15 @@
         return up;
     }
 
+    public boolean hangs() {
+        return hangs;
+    }
+
+    /** Within which uniqued reqs are recognised. */
+    public String group() {
+        return String.valueOf(cell);
+    }
+
     int inside() {
         return working.size() + waiting.size();
     }
--- a/lab/src/main/java/tinford/lab/sockets/Wire.java
+++ b/lab/src/main/java/tinford/lab/sockets/Wire.java
@@ -31,6 +31,11 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** Whether more has come than was read. */
+    boolean waits() throws IOException {
+        return in.available() > 0;
+    }
+
     /** Without its end; null where the connection has ended between two. */
     String line() throws IOException {
         StringBuilder s = new StringBuilder();
