--- a/lab/src/main/java/tinford/lab/fleet/FleetBench.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -67,6 +67,11 @@
             limits.put("Peers", program.peers());
         }
 
+        @Override
+        public double idle() {
+            return script.idle() > 0 ? script.idle() : Between.super.idle();
+        }
+
         @Override
         public int from(int port) {
             return links.from(port);
--- a/lab/src/main/java/tinford/lab/fleet/FleetScript.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetScript.java
@@ -18,8 +18,10 @@
  * @param offer connections that each server offers, 0 where no promise is made
  * @param further dispatches over first ones, of these, while strained; 0 where no promise is made
  * @param tries at an ill server a second; 0 where no promise is made
+ * @param idle how long a server keeps a connection with nothing in it, ms; 0 for 15,000
  */
-public record FleetScript(String scenario, Map<String, String> set, int offer, double further, double tries, List<Fault> faults) {
+public record FleetScript(String scenario, Map<String, String> set, int offer, double further, double tries, double idle,
+        List<Fault> faults) {
     /** What can go wrong: with the links and the gateways, and all that a scenario knows. */
     public enum Kind {
         /** From gateways {@code who} to gateways {@code to}: delay, jitter, rate. */
--- a/lab/src/main/java/tinford/lab/sockets/Between.java
+++ b/lab/src/main/java/tinford/lab/sockets/Between.java
@@ -36,4 +36,9 @@
 
     /** A line of the history: names and values in turn. */
     default void tell(String kind, Object... fields) { }
+
+    /** How long a server keeps a connection with nothing in it, ms; one with a req in it, the longest client timeout more. */
+    default double idle() {
+        return 15_000;
+    }
 }
--- a/lab/src/test/java/tinford/lab/fleet/BudgetsTest.java
+++ b/lab/src/test/java/tinford/lab/fleet/BudgetsTest.java
@@ -21,6 +21,7 @@
     private static final String FAULTS = """
             scenario = "tight.toml"
             offer = 6
+            idle = 1500
             [set]
             length_s = "13"
             [[faults]]
