--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -68,8 +68,9 @@
             if (orders.on("budgets.on") || orders.on("moves.on")) {
                 hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways), Map.of(), mailbox);
             }
-            view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now);
             history = History.at(historyPath, life);
+            view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now,
+                    srv -> history.add(now(), "try", "server", srv.id));
             if (handed.mayTalk()) {
                 talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
                         (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
@@ -107,8 +108,10 @@
             led = hard.leads();
             history.add(now, "leads", "on", led);
         }
-        if (overload.threshold() > 0 != strained) {
-            strained = !strained;
+        boolean on = orders.on("overload.on") && overload.threshold() > 0;
+        if (on != strained) {
+            strained = on;
+            history.add(now, "strained", "on", strained);
             LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
                     : "the fleet is strained no more");
             history.add(now, "line", "worth", overload.threshold(), "part", overload.partAtThreshold());
--- a/fleet/src/main/java/tinford/fleet/run/FleetView.java
+++ b/fleet/src/main/java/tinford/fleet/run/FleetView.java
@@ -1,7 +1,10 @@
 package tinford.fleet.run;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import tinford.api.Customer;
 import tinford.api.End;
@@ -12,16 +15,20 @@
 /** The view that the decisions see, of those parts of the fleet that are on; what is off bounds nothing. */
 final class FleetView extends View {
     private static final int MOST_ACCOUNTS = 20_000;
+    private static final int MOST_ASIDE = 2048;
     private final View overload;
     private final Hard budgets;
     private final DoubleSupplier clock;
     private final Map<Long, Integer> out = new HashMap<>(); // dispatches, by account
+    private final Consumer<Srv> tries;
+    private final Set<String> aside = new HashSet<>(); // servers that this gateway found ill
 
-    /** @param overload null where it is off; {@code budgets} likewise */
-    FleetView(View overload, Hard budgets, DoubleSupplier clock) {
+    /** @param overload null where it is off; {@code budgets} likewise; {@code tries} is told what goes to a server put aside */
+    FleetView(View overload, Hard budgets, DoubleSupplier clock, Consumer<Srv> tries) {
         this.overload = overload == null ? new View() : overload;
         this.budgets = budgets;
         this.clock = clock;
+        this.tries = tries;
     }
 
     @Override
@@ -101,6 +108,9 @@
     @Override
     public void sent(Req req, Srv srv, double worth, boolean further) {
         count(req, 1);
+        if (aside.contains(srv.id)) {
+            tries.accept(srv);
+        }
         overload.sent(req, srv, worth, further);
     }
 
@@ -112,6 +122,11 @@
 
     @Override
     public void ill(Srv srv, boolean ill) {
+        if (!ill) {
+            aside.remove(srv.id);
+        } else if (aside.size() < MOST_ASIDE) {
+            aside.add(srv.id);
+        }
         overload.ill(srv, ill);
     }
 }
--- a/lab/src/main/java/tinford/lab/fleet/FleetBench.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -147,6 +147,7 @@
             throw e;
         }
         troubles = new Troubles(bench, parties, new Streams(seed).of("fleet faults"));
+        bench.retries(s.clients().retries());
         bench.onBegin(from -> {
             began = System.nanoTime() / 1e6 + 200;
             parties.tell("begun");
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -82,6 +82,7 @@
     private double unitsOn;
     private DoubleConsumer begun = from -> { };
     private double unitsBeyond;
+    private int retries;
 
     /** A server: the model's machine behind a listening socket, which is shut while it is dead. */
     private final class Host {
@@ -530,14 +531,14 @@
         long[] counts = new long[4]; // denied, aborted, late, unanswered
         Map<Long, Bucket> asked = new HashMap<>();
         List<java.util.concurrent.Future<?>> waiting = new ArrayList<>();
-        long id = 1;
+        java.util.concurrent.atomic.AtomicLong ids = new java.util.concurrent.atomic.AtomicLong();
         for (Trace.Ask a : trace.asks()) {
             double due = from + a.at();
             long ms = (long) (due - live.now());
             if (ms > 0) {
                 Thread.sleep(ms);
             }
-            long mine = id++;
+            long root = ids.incrementAndGet();
             Scenario.Plan p = s.plans().stream().filter(k -> k.name().equals(a.plan())).findFirst().orElseThrow();
             Scenario.Frontend f = s.frontends().stream().filter(k -> k.name().equals(a.frontend())).findFirst().orElseThrow();
             double value = f.value() * p.price() * a.units();
@@ -546,49 +547,16 @@
                 sums[0] += value;
             }
             int first = World.first(a.customer(), s.gateways());
-            String terms = "c=" + f.name() + ",t=" + p.name() + ",d=" + (long) f.timeout() + ",units=" + a.units() + ",spread="
-                    + s.clients().spread() + ",first=" + first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
-            String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(a.customer()), hex(mine), terms);
-            Gateway g = gateways.get((first + a.way()) % gateways.size());
-            Customer customer = new Customer(a.customer(), plans.get(p.name()), s.clients().spread(), first);
-            Try t = new Try(mine, new Try.Asked(customer, frontends.get(f.name()), a.units(), 0, true), () -> g.life, due, false);
-            tries.put(mine, t);
-            boolean owes = g.up;
-            between.tell("asked", "req", hex(mine), "via", g.number, "frontend", f.name(), "effect", f.effect().name(), "timeout", f.timeout(),
-                    "value", value, "inside", inside);
             waiting.add(pool.submit(() -> {
-                String said = g.ask(command, f.timeout() + 100);
-                double ended = live.now();
-                between.tell("answered", "req", hex(mine), "via", g.number, "ms", ended - due, "how", said == null ? "nothing"
-                        : said.equals("$" + hex(mine)) ? ended - due > f.target() ? "late" : "passed" : said.startsWith("-BUSY") ? "denied"
-                        : said.startsWith("-ERR aborted") ? "aborted" : "strange");
-                live.post(() -> {
-                    if (said == null && owes) {
-                        oracle.expired(t, ended);
-                    } else if (said != null) {
-                        oracle.answered(t, said.startsWith("$") ? "passed" : said.startsWith("-BUSY") ? "denied" : "aborted", ended);
-                    }
-                });
-                synchronized (sums) {
-                    if (said == null) {
-                        counts[3]++;
-                    } else if (said.equals("$" + hex(mine))) {
-                        took.recordValue(Math.max(0, Math.round(ended - due)));
-                        if (ended - due > f.target()) {
-                            counts[2]++;
-                        } else {
-                            boolean over = beyond.getOrDefault(mine, false);
-                            sums[1] += value * (over ? p.beyond_value() : 1);
-                        }
-                        sums[1] -= beyond.getOrDefault(mine, false) ? value * p.beyond_cost() : 0;
-                    } else if (said.startsWith("-BUSY")) {
-                        counts[0]++;
-                    } else if (said.startsWith("-ERR aborted")) {
-                        counts[1]++;
-                    } else {
-                        strange.add("lost: req " + hex(mine) + " was answered " + said);
-                    }
+                java.util.Random draw = new java.util.Random(root);
+                double wait = ask(new Asking(a, p, f, root, root, first, a.way(), value, inside, due), took, sums, counts);
+                for (int again = 0; again < retries && wait >= 0; again++) {
+                    wait = wait > 0 && draw.nextDouble() < s.clients().honour() ? wait : s.clients().backoff();
+                    Thread.sleep((long) wait);
+                    wait = ask(new Asking(a, p, f, root, ids.incrementAndGet(), first, draw.nextInt(s.clients().spread()), value, inside,
+                            live.now()), took, sums, counts);
                 }
+                return null;
             }));
         }
         for (java.util.concurrent.Future<?> w : waiting) {
@@ -598,7 +566,7 @@
                 throw new IllegalStateException(e.getCause());
             }
         }
-        double n = trace.asks().size();
+        double n = ids.get();
         Map<String, Double> figures = new TreeMap<>();
         figures.put("service", sums[1] / sums[0]);
         figures.put("denied", counts[0] / n);
@@ -620,6 +588,66 @@
         return figures;
     }
 
+    /** One try of a client: {@code root} is the first try of the same wish. */
+    private record Asking(Trace.Ask a, Scenario.Plan p, Scenario.Frontend f, long root, long mine, int first, int way, double value,
+            boolean inside, double due) { }
+
+    /** @return when a denied one may come again, in ms and 0 where that was not told; -1 where it was not denied */
+    private double ask(Asking k, ConcurrentHistogram took, double[] sums, long[] counts) {
+        Scenario.Frontend f = k.f;
+        long mine = k.mine;
+        double due = k.due;
+        String terms = "c=" + f.name() + ",t=" + k.p.name() + ",d=" + (long) f.timeout() + ",units=" + k.a.units() + ",spread="
+                + s.clients().spread() + ",first=" + k.first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
+        String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(k.a.customer()), hex(mine), terms);
+        Gateway g = gateways.get((k.first + k.way) % gateways.size());
+        Customer customer = new Customer(k.a.customer(), plans.get(k.p.name()), s.clients().spread(), k.first);
+        Try t = new Try(mine, new Try.Asked(customer, frontends.get(f.name()), k.a.units(), 0, true), () -> g.life, due, false);
+        tries.put(mine, t);
+        boolean owes = g.up;
+        between.tell("asked", "req", hex(mine), "root", hex(k.root), "via", g.number, "frontend", f.name(), "effect", f.effect().name(),
+                "timeout", f.timeout(), "value", k.value, "worth", f.value() * k.p.price(), "inside", k.inside);
+        String said = g.ask(command, f.timeout() + 100);
+        double ended = live.now();
+        between.tell("answered", "req", hex(mine), "via", g.number, "ms", ended - due, "how", said == null ? "nothing"
+                : said.equals("$" + hex(mine)) ? ended - due > f.target() ? "late" : "passed" : said.startsWith("-BUSY") ? "denied"
+                : said.startsWith("-ERR aborted") ? "aborted" : "strange");
+        live.post(() -> {
+            if (said == null && owes) {
+                oracle.expired(t, ended);
+            } else if (said != null) {
+                oracle.answered(t, said.startsWith("$") ? "passed" : said.startsWith("-BUSY") ? "denied" : "aborted", ended);
+            }
+        });
+        synchronized (sums) {
+            if (said == null) {
+                counts[3]++;
+            } else if (said.equals("$" + hex(mine))) {
+                took.recordValue(Math.max(0, Math.round(ended - due)));
+                if (ended - due > f.target()) {
+                    counts[2]++;
+                } else {
+                    boolean over = beyond.getOrDefault(mine, false);
+                    sums[1] += k.value * (over ? k.p.beyond_value() : 1);
+                }
+                sums[1] -= beyond.getOrDefault(mine, false) ? k.value * k.p.beyond_cost() : 0;
+            } else if (said.startsWith("-BUSY")) {
+                counts[0]++;
+                return said.length() > 6 ? Double.parseDouble(said.substring(6)) : 0;
+            } else if (said.startsWith("-ERR aborted")) {
+                counts[1]++;
+            } else {
+                strange.add("lost: req " + hex(mine) + " was answered " + said);
+            }
+        }
+        return -1;
+    }
+
+    /** Clients whose req was denied come again so many times; none do unless this says so. */
+    public void retries(int most) {
+        retries = most;
+    }
+
     /** @param what is told, once all gateways are ready, when (by the agenda) the first req is due */
     public void onBegin(DoubleConsumer what) {
         begun = what;
