--- a/fleet/src/main/java/tinford/fleet/members/Known.java
+++ b/fleet/src/main/java/tinford/fleet/members/Known.java
@@ -13,8 +13,8 @@
     /** Their numbers, rising. */
     List<Integer> all();
 
-    /** The records of those that live and that are fresh enough to count, by number. Over many gateways a sample: the sum over the fleet is
-     * the mean of these times {@link #living}. */
+    /** The records of those that live and that are fresh enough to count, by number. Over many gateways a sample: the sum over
+     * the fleet is the mean of these times {@link #living}. */
     List<Sight> fresh();
 
     /** How many gateways the fleet has by its settings, living or not. */
--- a/fleet/src/main/java/tinford/fleet/members/Members.java
+++ b/fleet/src/main/java/tinford/fleet/members/Members.java
@@ -10,12 +10,14 @@
 import tinford.fleet.talk.Talk;
 
 /**
- * Who lives, and what each saw: records told about by chance. Each round a message goes to a few others, with the own record and those of
- * others that were told least, so that a gateway sends and takes as much in a fleet of any size. Keeps one record a gateway.
+ * Who lives, and what each saw: records told about by chance. Each round a message goes to a few others, with the own record and
+ * those of others that were told least, so that a gateway sends and takes as much in a fleet of any size. Keeps one record a
+ * gateway.
  *
- * <p>A record's age is what its teller counted and the time since it was heard. Where that life's records have come faster before,
- * one that took longer (late, or taken by a process that had been stopped) counts as older by the difference, so that an age is too low
- * by the quickest way of late at most; where a life is heard of for the first time, by that record's time under way. Only the own clock and the owner's count of time since its start are compared, never two clocks.
+ * <p>A record's age is what its teller counted and the time since it was heard. Where that life's records have come faster
+ * before, one that took longer (late, or taken by a process that had been stopped) counts as older by the difference, so that an
+ * age is too low by the quickest way of late at most; where a life is heard of for the first time, by that record's time under
+ * way. Only the own clock and the owner's count of time since its start are compared, never two clocks.
  */
 public final class Members implements Known {
     /** How far in the future another's start may lie, ms. */
@@ -23,7 +25,10 @@
     /** Messages taken in: so many a second, and so many at once; never more than the sum in any second. */
     public static final int TAKEN_A_SECOND = 50;
     public static final int TAKEN_AT_ONCE = 50;
-    /** So many times the time for suspicion after a later life was last heard of, an earlier one counts again (an upgrade that failed). */
+    /**
+     * So many times the time for suspicion after a later life was last heard of, an earlier one counts again (an upgrade that
+     * failed).
+     */
     public static final double FORGOTTEN = 10;
     /** One of so many messages goes to any gateway, heard of or not, so that halves find each other again. */
     private static final int ANY = 8;
@@ -42,7 +47,8 @@
         int c = Integer.compare(Math.min(NEWS, a.lifeTold), Math.min(NEWS, b.lifeTold));
         return c != 0 ? c : Double.compare(a.lastTold, b.lastTold);
     };
-    private static final Comparator<Other> ALIVE = (a, b) -> a.aliveTold != b.aliveTold ? Integer.compare(a.aliveTold, b.aliveTold)
+    private static final Comparator<Other> ALIVE = (a, b) -> a.aliveTold != b.aliveTold
+            ? Integer.compare(a.aliveTold, b.aliveTold)
             : Double.compare(b.alive, a.alive);
 
     /** What is known of one other gateway. */
@@ -82,8 +88,8 @@
     private final Other[] turns;
     private final Other[] signs;
     /**
-     * When others told that a gateway lives of which no record was heard yet. What they told may be as old as they may tell it, so that
-     * one that never was heard itself may count for twice the time after which it is suspected.
+     * When others told that a gateway lives of which no record was heard yet. What they told may be as old as they may tell it,
+     * so that one that never was heard itself may count for twice the time after which it is suspected.
      */
     private final double[] rumoured;
     private final int[] peers;
@@ -111,7 +117,8 @@
      */
     public Members(Life self, int gateways, double every, int fanout, double suspectAfter, double freshFor, Random chance) {
         if (self.gateway() < 0 || self.gateway() >= gateways || gateways > 65536 || suspectAfter > Sights.OLDEST) {
-            throw new IllegalArgumentException("gateway " + self.gateway() + " of " + gateways + ", suspected after " + suspectAfter
+            throw new IllegalArgumentException("gateway " + self.gateway() + " of " + gateways + ", suspected after "
+                    + suspectAfter
                     + " ms: expected one of at most 65536, and at most " + Sights.OLDEST + " ms");
         }
         this.self = self;
@@ -281,7 +288,8 @@
         Arrays.fill(into, null);
         int n = 0;
         for (Other o : others) {
-            if (o == null || now - time.applyAsDouble(o) > suspectAfter || n == into.length && order.compare(o, into[n - 1]) >= 0) {
+            if (o == null || now - time.applyAsDouble(o) > suspectAfter || n == into.length
+                    && order.compare(o, into[n - 1]) >= 0) {
                 continue;
             }
             int at = n < into.length ? n++ : n - 1;
--- a/fleet/src/main/java/tinford/fleet/members/Sight.java
+++ b/fleet/src/main/java/tinford/fleet/members/Sight.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The soft record of one gateway: what it saw itself over the last second or so, rates a second. Classes of worth are powers of the
- * square root of two of the worth a unit, so that all gateways have the same ones without agreeing on any.
+ * The soft record of one gateway: what it saw itself over the last second or so, rates a second. Classes of worth are powers of
+ * the square root of two of the worth a unit, so that all gateways have the same ones without agreeing on any.
  */
 public final class Sight {
     public static final int CLASSES = 24;
@@ -13,7 +13,10 @@
     public static final double LEAST = 1.0 / 16;
     public static final int MOST_ILL = 6;
 
-    /** A server that this gateway put aside, or found well again, so many ms before the record was made; named by a hash of its id. */
+    /**
+     * A server that this gateway put aside, or found well again, so many ms before the record was made; named by a hash of its
+     * id.
+     */
     public record Ill(int server, boolean ill, double ago) { }
 
     public final Life life;
--- a/fleet/src/main/java/tinford/fleet/members/Sights.java
+++ b/fleet/src/main/java/tinford/fleet/members/Sights.java
@@ -5,10 +5,11 @@
 import java.util.List;
 
 /**
- * Messages: a version byte; records, the sender's own first; a byte 0, and signs of life, which say only that one lived, and when.
- * Rates take one byte each on a log scale, ten steps an octave from 1/64 to 635 000, zero by itself: 3.5 % off at most. A record has 31
- * bytes, one for each class that is used and a bit (61 with all classes used), one more for each class that was sent in part, five for
- * each server named, and twelve where something was ceded, whose total is exact to seven digits: 127 at most.
+ * Messages: a version byte; records, the sender's own first; a byte 0, and signs of life, which say only that one lived, and
+ * when. Rates take one byte each on a log scale, ten steps an octave from 1/64 to 635 000, zero by itself: 3.5 % off at most. A
+ * record has 31 bytes, one for each class that is used and a bit (61 with all classes used), one more for each class that was
+ * sent in part, five for each server named, and twelve where something was ceded, whose total is exact to seven digits: 127 at
+ * most.
  */
 public final class Sights {
     /** The longest message, whatever the transport bears. */
@@ -27,7 +28,10 @@
     public static final double OLDEST = 65535 * AGE_UNIT;
     private static final int RATES = 9;
     private static final int CEDED = 12;
-    /** Bytes of a sign of life: gateway, the start's low bits, and when it lived, in {@link #SIGN_UNIT} ms since its start, three bytes. */
+    /**
+     * Bytes of a sign of life: gateway, the start's low bits, and when it lived, in {@link #SIGN_UNIT} ms since its start, three
+     * bytes.
+     */
     static final int SIGN = 7;
     private static final double SIGN_UNIT = 8;
     private static final int SIGN_UNITS = 1 << 24;
@@ -151,7 +155,10 @@
         return true;
     }
 
-    /** Ms since the start: of those that the three bytes may mean (they come round after 37 hours) the nearest to what is expected. */
+    /**
+     * Ms since the start: of those that the three bytes may mean (they come round after 37 hours) the nearest to what is
+     * expected.
+     */
     static double unwrap(int unit, double expected) {
         return (unit + Math.rint((expected / SIGN_UNIT - unit) / SIGN_UNITS) * SIGN_UNITS) * SIGN_UNIT;
     }
@@ -171,8 +178,8 @@
     }
 
     /**
-     * The records of a message; none where the message is of another version, torn, or its first record absurd. Of the others those
-     * that are absurd are left out. Never throws.
+     * The records of a message; none where the message is of another version, torn, or its first record absurd. Of the others
+     * those that are absurd are left out. Never throws.
      */
     public List<Told> read(byte[] message, double now) {
         if (message.length < 2 || message.length > MOST || message[0] != VERSION) {
--- a/fleet/src/main/java/tinford/fleet/moves/Due.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Due.java
@@ -4,7 +4,10 @@
 import java.util.Map;
 import tinford.fleet.members.Life;
 
-/** The rules about when a change of position is due. {@link Moves} asks them in one place; tests replace one at a time by a broken one. */
+/**
+ * The rules about when a change of position is due. {@link Moves} asks them in one place; tests replace one at a time by a broken
+ * one.
+ */
 class Due {
     /** One step at a time, in the direction that the moves have. */
     boolean next(int from, int to, boolean back) {
@@ -16,7 +19,9 @@
         return turn == of;
     }
 
-    /** Back to where the last change came from: whoever has not followed that change is there already, so nobody is waited for. */
+    /**
+     * Back to where the last change came from: whoever has not followed that change is there already, so nobody is waited for.
+     */
     boolean returns(int before, int position, int to) {
         return before == to && before != position;
     }
@@ -34,8 +39,9 @@
     }
 
     /**
-     * How long after all have acknowledged the present position the next one may begin. Where retries are told, none goes anywhere in
-     * either step of a change, so the wait is due at the end; where they aren't, nothing goes in HOLD, so the wait is due there.
+     * How long after all have acknowledged the present position the next one may begin. Where retries are told, none goes
+     * anywhere in either step of a change, so the wait is due at the end; where they aren't, nothing goes in HOLD, so the wait is
+     * due there.
      */
     double waits(Plan plan, int at, boolean back) {
         double most = 0;
--- a/fleet/src/main/java/tinford/fleet/moves/Explore.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Explore.java
@@ -13,9 +13,9 @@
 import tinford.fleet.members.Term;
 
 /**
- * Goes through everything that can happen to one plan at small size, breadth-first: entries in any order, late, lost or by a wrong
- * leader, kills, restarts with and without a disk, ended terms, halts, clocks that differ. Runs the real {@link Moves} and {@link Route}.
- * Holds every state that it found; its memory is bounded by {@code most} states.
+ * Goes through everything that can happen to one plan at small size, breadth-first: entries in any order, late, lost or by a
+ * wrong leader, kills, restarts with and without a disk, ended terms, halts, clocks that differ. Runs the real {@link Moves} and
+ * {@link Route}. Holds every state that it found; its memory is bounded by {@code most} states.
  */
 public final class Explore {
     /** What is explored: how many faults, and what is broken on purpose, if anything. */
@@ -104,8 +104,10 @@
 
         private Plan plan() {
             return new Plan("p", 0, 0.1, 1, List.of(
-                    new Plan.Mover("needing", "a", "b", c.needs ? List.of("needed") : List.of(), 0, List.of(1.0), 1, 1, true, c.told, WINDOW),
-                    new Plan.Mover("needed", "a", "b", List.of(), 0, c.stages == 2 ? List.of(0.5, 1.0) : List.of(1.0), 1, 1, false, false, 0)),
+                    new Plan.Mover("needing", "a", "b", c.needs ? List.of("needed") : List.of(), 0, List.of(1.0), 1, 1, true,
+                            c.told, WINDOW),
+                    new Plan.Mover("needed", "a", "b", List.of(), 0, c.stages == 2 ? List.of(0.5, 1.0) : List.of(1.0), 1, 1,
+                            false, false, 0)),
                     Map.of("b", new Plan.Room(2, 2, 0.5)));
         }
 
@@ -139,7 +141,9 @@
             return r;
         }
 
-        /** One request at a time; without other entries ahead of it the grant is seen at once, as later it would only be shorter. */
+        /**
+         * One request at a time; without other entries ahead of it the grant is seen at once, as later it would only be shorter.
+         */
         void renew(int g) {
             if (queue.get(g).stream().allMatch(q -> q.stand != null)) {
                 granted[g] = own(g) + LENGTH;
@@ -239,7 +243,8 @@
             wait = Math.max(wait, is.back() ? 0 : c.due.waits(is.plan(), is.position(), false));
             s.append((char) (1 + key)).append((char) (key < 0 ? 0 : now - ran));
             for (int g : order) {
-                s.append(!up[g] ? 'd' : cut[g] ? 'c' : 'u').append((char) view[g].position()).append(view[g].turn() == is.turn() ? '=' : '<');
+                s.append(!up[g] ? 'd' : cut[g] ? 'c' : 'u').append((char) view[g].position())
+                        .append(view[g].turn() == is.turn() ? '=' : '<');
                 time(s, seen[g] - own(g), 0, 9);
                 time(s, granted[g] - now, -WINDOW - c.apart, 9);
                 time(s, flight[g] == GONE ? -9 : flight[g] - now, -5, 0);
--- a/fleet/src/main/java/tinford/fleet/moves/Moves.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Moves.java
@@ -12,8 +12,8 @@
 import tinford.fleet.store.Log;
 
 /**
- * What the entries about moves have come to, on every member alike. {@link #apply} is the one place that enforces the rules: an entry
- * that is not due alters nothing. Holds one plan, and an ack and a report of each life that has them in the present turn.
+ * What the entries about moves have come to, on every member alike. {@link #apply} is the one place that enforces the rules: an
+ * entry that is not due alters nothing. Holds one plan, and an ack and a report of each life that has them in the present turn.
  */
 public final class Moves implements Log.Reader {
     /** See the table in docs/moves.md. */
--- a/fleet/src/main/java/tinford/fleet/moves/Plan.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Plan.java
@@ -30,7 +30,9 @@
     public record Mover(String name, String from, String to, List<String> needs, int begins, List<Double> shares, double units,
             int connections, boolean uniqued, boolean told, double held) { }
 
-    /** What a group can take in addition to what stays there: units a second when warm, the part of them when cold, connections. */
+    /**
+     * What a group can take in addition to what stays there: units a second when warm, the part of them when cold, connections.
+     */
     public record Room(double units, int connections, double coldPart) { }
 
     /** What a plan is held against: the frontends that may move, where each one lives, and the groups. */
@@ -99,7 +101,8 @@
                 faults.unless(by.containsKey(need), i, "needs", "frontends of this plan, not " + need);
             }
             faults.unless(m.needs.size() <= MOST, i, "needs", "64 at most");
-            faults.unless(!reaches(by, m.name, m.name, new HashSet<>()), i, "needs", "no circle, but " + m.name + " needs itself");
+            faults.unless(!reaches(by, m.name, m.name, new HashSet<>()), i, "needs", "no circle, but " + m.name
+                    + " needs itself");
             faults.unless(m.begins >= 0 && m.begins <= 1000, i, "begins", "a stage from 1 to 1000, or 0");
         }
         if (faults.none()) {
--- a/fleet/src/main/java/tinford/fleet/moves/PlanReader.java
+++ b/fleet/src/main/java/tinford/fleet/moves/PlanReader.java
@@ -110,7 +110,8 @@
                 found.put(m.to(), room);
                 faults.unless(units.merge(m.to(), m.units(), Double::sum) <= room.units(), i, "units",
                         "no more in all than the " + room.units() + " that " + m.to() + " has room for");
-                faults.unless(connections.merge(m.to(), (double) m.connections(), Double::sum) <= room.connections(), i, "connections",
+                faults.unless(connections.merge(m.to(), (double) m.connections(), Double::sum) <= room.connections(), i,
+                        "connections",
                         "no more in all than the " + room.connections() + " that " + m.to() + " has room for");
             }
         }
--- a/fleet/src/main/java/tinford/fleet/moves/Route.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Route.java
@@ -6,8 +6,9 @@
 import tinford.fleet.members.Term;
 
 /**
- * Where the reqs of frontends that may move go through one gateway, and what it tells the others. Called on the I/O thread only; a stand
- * and a term come from entries that were applied in order, so a term is never acted on with an older stand than it was granted after.
+ * Where the reqs of frontends that may move go through one gateway, and what it tells the others. Called on the I/O thread only;
+ * a stand and a term come from entries that were applied in order, so a term is never acted on with an older stand than it was
+ * granted after.
  */
 public class Route {
     private final Life self;
@@ -29,7 +30,9 @@
         see(first, null, false);
     }
 
-    /** After each applied entry: how the moves stand, the own term if any, and whether the log has this life's ack of this turn. */
+    /**
+     * After each applied entry: how the moves stand, the own term if any, and whether the log has this life's ack of this turn.
+     */
     public void see(Stand now, Term own, boolean acked) {
         if (stand == null || stand.turn() != now.turn()) {
             counts = new long[now.plan() == null ? 0 : 4 * now.plan().frontends.size()];
@@ -43,8 +46,8 @@
     }
 
     /**
-     * Whether a req may be sent to that group now. Without a term of its own that holds by its own clock a gateway sends nothing of what
-     * may move. All reqs of one customer and frontend change together, so a retry is judged alike by every gateway.
+     * Whether a req may be sent to that group now. Without a term of its own that holds by its own clock a gateway sends nothing
+     * of what may move. All reqs of one customer and frontend change together, so a retry is judged alike by every gateway.
      *
      * @param retry whether the client says that it asked before
      * @param first where an earlier dispatch of this very req may have run, or null
--- a/fleet/src/main/java/tinford/fleet/moves/Stages.java
+++ b/fleet/src/main/java/tinford/fleet/moves/Stages.java
@@ -21,7 +21,8 @@
         steps.add(step(plan, begins, 0, Step.Phase.SETTLED));
         for (int stage = 1; stage <= most; stage++) {
             for (Step.Phase phase : uniqued(plan, begins, stage)
-                    ? new Step.Phase[] {Step.Phase.HOLD, Step.Phase.OPEN, Step.Phase.SETTLED} : new Step.Phase[] {Step.Phase.SETTLED}) {
+                    ? new Step.Phase[] {Step.Phase.HOLD, Step.Phase.OPEN, Step.Phase.SETTLED}
+                            : new Step.Phase[] {Step.Phase.SETTLED}) {
                 steps.add(step(plan, begins, stage, phase));
             }
         }
--- a/fleet/src/main/java/tinford/fleet/run/Agreed.java
+++ b/fleet/src/main/java/tinford/fleet/run/Agreed.java
@@ -17,8 +17,8 @@
 import tinford.fleet.store.Log;
 
 /**
- * What the log's entries have come to: terms and budgets, and moves, each taking its own entries. A process has it twice: on the log's
- * thread for snapshots, and on the I/O thread, where it is acted on; both see the same entries in the same order.
+ * What the log's entries have come to: terms and budgets, and moves, each taking its own entries. A process has it twice: on the
+ * log's thread for snapshots, and on the I/O thread, where it is acted on; both see the same entries in the same order.
  */
 final class Agreed implements Log.Reader {
     final Terms terms;
--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -61,7 +61,8 @@
         mailbox = new Mailbox(MOST_SOFT, MOST_HARD, what -> enter.accept(what::run));
         double every = orders.number("talk.every_ms");
         double suspect = orders.number("talk.suspect_ms");
-        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect, new Random(handed.seed()));
+        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect,
+                new Random(handed.seed()));
         overload = new Overload(now, life, orders.number("overload.window_ms"), orders.number("overload.further_part"),
                 new Random(handed.seed() + 1));
         try {
@@ -109,7 +110,8 @@
         }
         if (overload.threshold() > 0 != strained) {
             strained = !strained;
-            LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
+            LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold()
+                    + " a unit is shed"
                     : "the fleet is strained no more");
             history.add(now, "line", "worth", overload.threshold(), "part", overload.partAtThreshold());
         }
--- a/fleet/src/main/java/tinford/fleet/run/Handed.java
+++ b/fleet/src/main/java/tinford/fleet/run/Handed.java
@@ -33,7 +33,8 @@
         } catch (NumberFormatException e) {
             throw new IOException("configuration, seed: expected a number in hex digits");
         }
-        return new Handed(all.path("name").asText(""), mayTalk ? address("peer_listen", all.path("peer_listen")) : null, peers, seed, mayTalk);
+        return new Handed(all.path("name").asText(""), mayTalk ? address("peer_listen", all.path("peer_listen")) : null, peers,
+                seed, mayTalk);
     }
 
     private static InetSocketAddress address(String field, JsonNode v) throws IOException {
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -21,7 +21,10 @@
 import tinford.fleet.store.RaftLog;
 import tinford.routing.Addresses;
 
-/** The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then on. */
+/**
+ * The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then
+ * on.
+ */
 final class Hard {
     private static final System.Logger LOG = System.getLogger("tinford.fleet");
     private static final double ROUND = 250; // entries of a gateway come no faster than two in this time
@@ -49,8 +52,10 @@
         int cap = (int) orders.number("budgets.cap");
         proposer = new Proposer(key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), ROUND);
         Path folder = Files.createDirectories(Path.of(orders.text("log.folder")));
-        boolean alone = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock() != null;
-        share = new Share(agreed.ledger, statics, key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), life, term, 2 * apart, ROUND,
+        boolean alone = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)
+                .tryLock() != null;
+        share = new Share(agreed.ledger, statics, key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), life, term,
+                2 * apart, ROUND,
                 KEEP, alone ? life.start() : life.start() + linger);
         Agreed kept = new Agreed(gateways, term, apart, linger, statics(orders, gateways), homes);
         TreeMap<Integer, InetSocketAddress> members = new TreeMap<>();
--- a/fleet/src/main/java/tinford/fleet/run/History.java
+++ b/fleet/src/main/java/tinford/fleet/run/History.java
@@ -33,7 +33,8 @@
         if (path == null || path.isEmpty()) {
             return new History(null, life);
         }
-        History h = new History(Files.newBufferedWriter(Path.of(path), StandardOpenOption.CREATE, StandardOpenOption.APPEND), life);
+        History h = new History(Files.newBufferedWriter(Path.of(path), StandardOpenOption.CREATE, StandardOpenOption.APPEND),
+                life);
         Thread t = new Thread(h::write, "history");
         t.setDaemon(true);
         t.start();
--- a/fleet/src/main/java/tinford/fleet/run/Mailbox.java
+++ b/fleet/src/main/java/tinford/fleet/run/Mailbox.java
@@ -6,8 +6,8 @@
 import java.util.function.Consumer;
 
 /**
- * What other threads have for the I/O thread, in the order in which it came, at most so many of each kind. Of soft ones the oldest goes
- * when there is no room: they come again. Hard ones are never dropped: who brings one waits for room.
+ * What other threads have for the I/O thread, in the order in which it came, at most so many of each kind. Of soft ones the
+ * oldest goes when there is no room: they come again. Hard ones are never dropped: who brings one waits for room.
  */
 public final class Mailbox {
     private final int mostSoft;
--- a/fleet/src/main/java/tinford/fleet/run/Orders.java
+++ b/fleet/src/main/java/tinford/fleet/run/Orders.java
@@ -73,7 +73,8 @@
         try {
             tree = new TomlMapper().readTree(text);
         } catch (JsonProcessingException e) {
-            throw new Refused(List.of(file + ", line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": expected TOML: "
+            throw new Refused(List.of(file + ", line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr())
+                    + ": expected TOML: "
                     + e.getOriginalMessage()));
         }
         for (Iterator<Map.Entry<String, JsonNode>> tables = tree.fields(); tables.hasNext();) {
@@ -110,7 +111,8 @@
             faults.add(at(file, text, "talk", "suspect_ms") + "talk.suspect_ms: expected three times talk.every_ms or more");
         }
         if ((on("budgets.on") || on("moves.on")) && (texts("log.members").size() < 3 || text("log.folder").isEmpty())) {
-            faults.add(at(file, text, "log", "members") + "log.members: expected three or more, and log.folder, where budgets or moves are on");
+            faults.add(at(file, text, "log", "members")
+                    + "log.members: expected three or more, and log.folder, where budgets or moves are on");
         }
         for (String m : texts("log.members")) {
             if (!m.matches("[0-9.]+:[0-9]{1,5}")) {
--- a/fleet/src/main/java/tinford/fleet/store/FileStore.java
+++ b/fleet/src/main/java/tinford/fleet/store/FileStore.java
@@ -8,8 +8,8 @@
 import java.nio.file.Path;
 
 /**
- * A store in one file of a folder: written beside it, forced, renamed over it, and the folder forced. One process at a time writes to
- * a name. Holds at most twice the largest content on the disk, and that once in memory while it reads or writes.
+ * A store in one file of a folder: written beside it, forced, renamed over it, and the folder forced. One process at a time
+ * writes to a name. Holds at most twice the largest content on the disk, and that once in memory while it reads or writes.
  */
 public final class FileStore implements Store {
     private static final String LEFTOVER = ".tmp";
--- a/fleet/src/main/java/tinford/fleet/store/MemoryLogs.java
+++ b/fleet/src/main/java/tinford/fleet/store/MemoryLogs.java
@@ -8,8 +8,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * The logs of all members in one place, for tests and the lab: they come to what a consensus comes to, but are none. One thread, driven
- * by {@link #advance}; chance is handed in. Bounds: {@code inFlight} appends a member; entries since the last snapshot.
+ * The logs of all members in one place, for tests and the lab: they come to what a consensus comes to, but are none. One thread,
+ * driven by {@link #advance}; chance is handed in. Bounds: {@code inFlight} appends a member; entries since the last snapshot.
  */
 public final class MemoryLogs {
     /** An append under way. */
--- a/fleet/src/main/java/tinford/fleet/store/MemoryStore.java
+++ b/fleet/src/main/java/tinford/fleet/store/MemoryStore.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 
 /**
- * A store in memory for tests and the lab, with the faults of a disk on demand. What lasts is in a {@link Platter}, which outlives the
- * store as a disk outlives a process. Holds two contents of at most {@code largest} bytes.
+ * A store in memory for tests and the lab, with the faults of a disk on demand. What lasts is in a {@link Platter}, which
+ * outlives the store as a disk outlives a process. Holds two contents of at most {@code largest} bytes.
  */
 public final class MemoryStore implements Store {
     /** What ails the disk. */
--- a/fleet/src/main/java/tinford/fleet/store/RaftLog.java
+++ b/fleet/src/main/java/tinford/fleet/store/RaftLog.java
@@ -49,14 +49,14 @@
 /**
  * A log kept by Apache Ratis, an implementation of Raft: over gRPC, on a folder of its own that it forces before it acknowledges.
  *
- * <p>Chosen over jgroups-raft, which is smaller (3.7 MB of jars against 21 MB) but hands no index to its reader, answers an append
- * without one, and elects by views of the group, which a cut shapes; Ratis keeps term and vote on the disk, asks before it votes, and
- * catches up by chunks of a snapshot.
+ * <p>Chosen over jgroups-raft, which is smaller (3.7 MB of jars against 21 MB) but hands no index to its reader, answers an
+ * append without one, and elects by views of the group, which a cut shapes; Ratis keeps term and vote on the disk, asks before it
+ * votes, and catches up by chunks of a snapshot.
  *
  * <p>A member that lost its disk would break what it voted and acknowledged; see {@link Rejoining}.
  *
- * <p>Bounds: {@code inFlight} appends wait at a member, each of at most {@code entryBytes}; the disk holds the entries since the last
- * two snapshots and segments of 1 MiB.
+ * <p>Bounds: {@code inFlight} appends wait at a member, each of at most {@code entryBytes}; the disk holds the entries since the
+ * last two snapshots and segments of 1 MiB.
  */
 public final class RaftLog implements Log {
     /** What an append may take and how many wait; when a snapshot is taken; how long a silent leader stays one. */
@@ -216,7 +216,10 @@
         }
     }
 
-    /** On the sender's thread. Asked again only where it surely was not taken, and under the same call, which the library takes once. */
+    /**
+     * On the sender's thread. Asked again only where it surely was not taken, and under the same call, which the library takes
+     * once.
+     */
     private void offer(long call, Message message, CompletableFuture<Long> told) {
         if (told.isDone()) {
             return;
@@ -282,7 +285,8 @@
                     each.close();
                 }
             } catch (Exception e) {
-                System.getLogger("tinford.fleet").log(System.Logger.Level.WARNING, "log: {0} not closed: {1}", self, e.toString());
+                System.getLogger("tinford.fleet")
+                        .log(System.Logger.Level.WARNING, "log: {0} not closed: {1}", self, e.toString());
             }
         }
     }
--- a/fleet/src/main/java/tinford/fleet/store/Store.java
+++ b/fleet/src/main/java/tinford/fleet/store/Store.java
@@ -10,7 +10,9 @@
     /** What was found, and why there is nothing where it is null: in one line, for the log. */
     record Found(byte[] content, String why) { }
 
-    /** Never fails: what can't be read, is torn, foreign, of a later version or dated in the future counts as absent, and is told. */
+    /**
+     * Never fails: what can't be read, is torn, foreign, of a later version or dated in the future counts as absent, and is told.
+     */
     Found read(double now);
 
     /** Returns once the content lasts. Fails whole, and leaves what was there, when the disk is full, read-only or gone. */
--- a/lab/src/main/java/tinford/lab/fleet/FleetBench.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -15,7 +15,9 @@
 import tinford.lab.sockets.Bench;
 import tinford.lab.sockets.Between;
 
-/** A fleet of real processes on loopback under a script of faults, with a link between any two parties, and the histories of all. */
+/**
+ * A fleet of real processes on loopback under a script of faults, with a link between any two parties, and the histories of all.
+ */
 public final class FleetBench implements AutoCloseable {
     private final FleetScript script;
     private final Program program;
@@ -166,7 +168,8 @@
 
     /** Where a gateway sits: all addresses that it is told are those of links. */
     public Program.Seat seat(int gateway) throws IOException {
-        return new Program.Seat(gateway, bench.gateways(), processes.of(gateway), processes.disk(gateway), links.peerListen(gateway),
+        return new Program.Seat(gateway, bench.gateways(), processes.of(gateway), processes.disk(gateway),
+                links.peerListen(gateway),
                 links.peers(gateway), links.memberListen(gateway), links.members(gateway));
     }
 
--- a/lab/src/main/java/tinford/lab/fleet/FleetFigures.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetFigures.java
@@ -13,8 +13,9 @@
     private FleetFigures() { }
 
     /**
-     * Worth passed by its target of the worth asked inside quotas; dispatches a req; and seconds from the end of the last fault until for one whole
-     * second nine tenths of what passed before the first fault passes again (-1: not by the end, or nothing to compare).
+     * Worth passed by its target of the worth asked inside quotas; dispatches a req; and seconds from the end of the last fault
+     * until for one whole second nine tenths of what passed before the first fault passes again (-1: not by the end, or nothing
+     * to compare).
      */
     static Map<String, Double> of(List<History.Line> lines, FleetScript script, double began) {
         Map<String, History.Line> asked = new HashMap<>();
--- a/lab/src/main/java/tinford/lab/fleet/History.java
+++ b/lab/src/main/java/tinford/lab/fleet/History.java
@@ -15,8 +15,8 @@
 import java.util.Map;
 
 /**
- * What happened, as each process wrote it down: a JSON object a line (docs/lab.md). A file ends where its process did; half a line at
- * its end is left out.
+ * What happened, as each process wrote it down: a JSON object a line (docs/lab.md). A file ends where its process did; half a
+ * line at its end is left out.
  */
 public final class History implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -97,7 +97,8 @@
                     try {
                         n = JSON.readTree(text);
                     } catch (JsonProcessingException e) {
-                        if (in.ready()) { // a process that was killed leaves half a line, but then a later life may follow on its own
+                        // a process that was killed leaves half a line, but then a later life may follow on its own
+                        if (in.ready()) {
                             throw new IOException(f + ": line " + number + ": expected a JSON object");
                         }
                     }
--- a/lab/src/main/java/tinford/lab/fleet/Links.java
+++ b/lab/src/main/java/tinford/lab/fleet/Links.java
@@ -95,7 +95,8 @@
     List<String> peers(int gateway) throws IOException {
         List<String> all = new ArrayList<>();
         for (int j = 0; j < gateways; j++) {
-            all.add(j == gateway ? peerListen(j) : text(gateway > j ? pairs[gateway][j].forLeft() : pairs[gateway][j].forRight()));
+            all.add(j == gateway ? peerListen(j)
+                    : text(gateway > j ? pairs[gateway][j].forLeft() : pairs[gateway][j].forRight()));
         }
         return all;
     }
@@ -174,7 +175,8 @@
     }
 
     synchronized void servers(Collection<Integer> who, Collection<String> which, Impairment i, boolean on, boolean both) {
-        List<StreamLink> its = who.stream().flatMap(g -> which.stream().map(s -> servers.get(g).get(s))).filter(java.util.Objects::nonNull)
+        List<StreamLink> its = who.stream().flatMap(g -> which.stream().map(s -> servers.get(g).get(s)))
+                .filter(java.util.Objects::nonNull)
                 .toList();
         done(() -> its.forEach(l -> l.impair(i, on, true, both)));
     }
--- a/lab/src/main/java/tinford/lab/fleet/Runs.java
+++ b/lab/src/main/java/tinford/lab/fleet/Runs.java
@@ -20,7 +20,8 @@
         if (l.kind().equals("dispatch") && !l.text("effect").equals(Effect.REPLAYABLE.name())) {
             List<History.Line> its = runs.computeIfAbsent(req, k -> new ArrayList<>());
             its.stream().filter(first -> harm(first, l)).findFirst().ifPresent(first -> finds.breach("req " + req + " ("
-                    + l.text("frontend") + ", " + l.text("effect") + ") runs again where it is not recognised", List.of(first, l)));
+                    + l.text("frontend") + ", " + l.text("effect") + ") runs again where it is not recognised",
+                            List.of(first, l)));
             its.add(l);
         } else if (l.kind().equals("ended") && !End.valueOf(l.text("how")).mayHaveRun && runs.containsKey(req)) {
             runs.get(req).removeIf(run -> run.text("server").equals(l.text("server")));
--- a/lab/src/main/java/tinford/lab/fleet/Stages.java
+++ b/lab/src/main/java/tinford/lab/fleet/Stages.java
@@ -7,8 +7,8 @@
 import java.util.TreeMap;
 
 /**
- * No two gateways that act are more than one stage of a move apart, and a frontend moves only when what it needs has moved at all of them.
- * One that was paused, killed or without its term counts again from the next stage that it tells.
+ * No two gateways that act are more than one stage of a move apart, and a frontend moves only when what it needs has moved at all
+ * of them. One that was paused, killed or without its term counts again from the next stage that it tells.
  */
 final class Stages implements Promise {
     private final Map<String, Map<Integer, History.Line>> stages = new LinkedHashMap<>(); // by move and gateway, the last told
@@ -31,7 +31,8 @@
         its.put(l.gateway(), l);
         for (History.Line other : its.values()) {
             if (Math.abs(other.number("stage") - l.number("stage")) > 1) {
-                finds.breach("gateways " + other.gateway() + " and " + l.gateway() + " are more than one stage of " + move + " apart",
+                finds.breach("gateways " + other.gateway() + " and " + l.gateway() + " are more than one stage of " + move
+                        + " apart",
                         List.of(other, l));
             }
         }
@@ -39,8 +40,10 @@
             moved.computeIfAbsent(move + " " + f.asText(), k -> new TreeMap<>()).putIfAbsent(l.gateway(), l);
             for (String needed : needs.getOrDefault(move + " " + f.asText(), List.of())) {
                 Map<Integer, History.Line> have = moved.getOrDefault(move + " " + needed, Map.of());
-                its.values().stream().filter(o -> !have.containsKey(o.gateway())).findFirst().ifPresent(o -> finds.breach("gateway "
-                        + l.gateway() + " moves " + f.asText() + ", which needs " + needed + ", not yet moved at gateway " + o.gateway(),
+                its.values().stream().filter(o -> !have.containsKey(o.gateway())).findFirst()
+                        .ifPresent(o -> finds.breach("gateway "
+                        + l.gateway() + " moves " + f.asText() + ", which needs " + needed + ", not yet moved at gateway "
+                                + o.gateway(),
                         o == l ? List.of(l) : List.of(o, l)));
             }
         }
