--- a/lab/src/main/java/tinford/lab/fleet/FleetBench.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -140,7 +140,7 @@
         histories.add(lines);
         processes = new Processes(folder);
         try {
-            links = new Links(s.gateways(), seed, this::left);
+            links = new Links(s.gateways(), seed, this::comes, this::left);
             bench = new Bench(s, seed, parties, folder);
         } catch (IOException | UncheckedIOException e) {
             processes.close();
@@ -157,6 +157,13 @@
         });
     }
 
+    private void comes(int port) {
+        Bench b = bench;
+        if (b != null) { // guards against connections while the bench is being made
+            b.comes(port);
+        }
+    }
+
     private void left(int port) {
         Bench b = bench;
         if (b != null) {
--- a/lab/src/main/java/tinford/lab/fleet/Links.java
+++ b/lab/src/main/java/tinford/lab/fleet/Links.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntConsumer;
+import tinford.lab.sockets.FreePort;
 
 /** All links of a fleet: between gateways (datagrams, and streams for a log), to each server and to the counter a gateway. */
 final class Links implements AutoCloseable {
@@ -26,13 +27,18 @@
     private final List<Map<String, StreamLink>> servers = new ArrayList<>();
     private final StreamLink[] counters;
     private final Map<Integer, Integer> from = new ConcurrentHashMap<>(); // gateway, by the port from which its connection comes
+    private final IntConsumer comes;
     private final IntConsumer left;
     private final int[] memberPorts;
     private final List<InetSocketAddress> peerListens = new ArrayList<>();
 
-    /** @param left is told the port of a connection to a server whose gateway has closed it */
-    Links(int gateways, long seed, IntConsumer left) throws IOException {
+    /**
+     * @param comes is told the port from which a connection will come to a server or the counter, before it does
+     * @param left is told the port of one whose gateway has closed it
+     */
+    Links(int gateways, long seed, IntConsumer comes, IntConsumer left) throws IOException {
         this.gateways = gateways;
+        this.comes = comes;
         this.left = left;
         draw = new Random(seed);
         pairs = new DatagramLink[gateways][gateways];
@@ -41,12 +47,8 @@
         counters = new StreamLink[gateways];
         memberPorts = new int[gateways];
         for (int i = 0; i < gateways; i++) {
-            try (DatagramChannel free = DatagramChannel.open().bind(here(0))) {
-                peerListens.add((InetSocketAddress) free.getLocalAddress());
-            }
-            try (java.net.ServerSocket free = new java.net.ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                memberPorts[i] = free.getLocalPort();
-            }
+            peerListens.add(here(FreePort.find()));
+            memberPorts[i] = FreePort.find();
             servers.add(new LinkedHashMap<>());
         }
         for (int i = 0; i < gateways; i++) {
@@ -128,7 +130,10 @@
 
     private StreamLink stream(int gateway, int port) {
         try {
-            return new StreamLink(loop, draw, here(port), p -> from.put(p, gateway), left);
+            return new StreamLink(loop, draw, here(port), p -> {
+                from.put(p, gateway);
+                comes.accept(p);
+            }, left);
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
--- a/lab/src/main/java/tinford/lab/fleet/StreamLink.java
+++ b/lab/src/main/java/tinford/lab/fleet/StreamLink.java
@@ -142,14 +142,18 @@
                 return;
             }
             try {
-                ByteBuffer b = ByteBuffer.allocate(16_384);
-                int n = f.from.read(b);
-                if (n > 0) {
-                    f.hold(b.flip());
-                    return;
-                }
-                if (n == 0) {
-                    return;
+                while (true) { // to the end, if it is there: that it was given up is told before its bytes go on
+                    ByteBuffer b = ByteBuffer.allocate(16_384);
+                    int n = f.from.read(b);
+                    if (n < 0) {
+                        break;
+                    }
+                    if (n > 0) {
+                        f.hold(b.flip());
+                    }
+                    if (n == 0 || f.bytes > MOST) {
+                        return;
+                    }
                 }
             } catch (IOException e) {
                 // reset: as its end
--- a/lab/src/main/java/tinford/lab/model/Machine.java
+++ b/lab/src/main/java/tinford/lab/model/Machine.java
@@ -15,7 +15,7 @@
 public final class Machine {
     public final String id;
     public final String zone;
-    final int cell;
+    public final int cell;
     final int cores;
     private final Agenda agenda;
     private final int room;
@@ -65,11 +65,6 @@
         return hangs;
     }
 
-    /** Within which uniqued reqs are recognised. */
-    public String group() {
-        return String.valueOf(cell);
-    }
-
     int inside() {
         return working.size() + waiting.size();
     }
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -179,7 +179,7 @@
             double works = work.get(t.frontend.name).sample();
             boolean further = beyond.get(t.id) != null;
             between.tell("dispatch", "server", machine.id, "from", between.from(w.socket.getPort()), "req", words[2], "frontend",
-                    t.frontend.name, "effect", t.frontend.effect.name(), "units", t.units, "further", further, "group", machine.group(),
+                    t.frontend.name, "effect", t.frontend.effect.name(), "units", t.units, "further", further, "group", Integer.toString(machine.cell),
                     "window", t.frontend.repeatWindow);
             if (!further) {
                 Plan p = t.customer.plan;
@@ -286,7 +286,7 @@
         String list(int gateway, Collection<Host> some, boolean whole) {
             List<Object> all = new ArrayList<>();
             for (Host h : some) {
-                all.add(Map.of("host", h.machine.id, "dial", at(between.server(gateway, h.machine.id, h.port)), "site", h.machine.zone, "class", "m", "block", 0, "share", 1.0,
+                all.add(Map.of("host", h.machine.id, "dial", at(between.server(gateway, h.machine.id, h.port)), "site", h.machine.zone, "class", "m", "block", h.machine.cell, "share", 1.0,
                         "health", h.state == Srv.State.UP ? "ready" : h.state == Srv.State.DRAINING ? "draining" : "gone",
                         "born_ms", h.machine.born));
             }
@@ -308,9 +308,7 @@
 
         Gateway(int number) throws IOException {
             this.number = number;
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                port = free.getLocalPort();
-            }
+            port = FreePort.find();
             counterPort = between.counter(number, counter.getLocalPort());
             pool.execute(() -> {
                 try {
@@ -364,6 +362,7 @@
             long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY);
             while (true) {
                 try (Wire w = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                    w.socket.setSoTimeout(1000); // guards against another that listens there
                     w.say(Wire.command("PING"));
                     if ("+PONG".equals(w.answer())) {
                         up = true;
@@ -635,12 +634,17 @@
             Try.Hop hop = hopsFrom.get(port);
             if (hop != null && hop.end == null) {
                 hop.end = End.TIMED_OUT;
-            } else if (hop == null && given.size() < GIVEN) {
+            } else if (given.size() < GIVEN) {
                 given.put(port, true);
             }
         });
     }
 
+    /** A new connection will come to a server from that port. */
+    public void comes(int port) {
+        live.post(() -> given.remove(port));
+    }
+
     /** A gateway stands still, or goes on: it owes no answer to what overlaps. */
     public void paused(int gateway, boolean on) {
         gateways.get(gateway).life++;
--- a/lab/src/test/java/tinford/lab/fleet/LinksTest.java
+++ b/lab/src/test/java/tinford/lab/fleet/LinksTest.java
@@ -53,7 +53,7 @@
     /** Each hears the other as from the address that it sends to; cut one way, the other goes on; to all goes over the same links. */
     @Test
     public void datagramsKnowTheirSender() throws Exception {
-        try (Links links = new Links(3, 1, p -> { }); DatagramSocket a = gateway(links, 0); DatagramSocket b = gateway(links, 1);
+        try (Links links = new Links(3, 1, p -> { }, p -> { }); DatagramSocket a = gateway(links, 0); DatagramSocket b = gateway(links, 1);
                 DatagramSocket c = gateway(links, 2); DatagramSocket stranger = new DatagramSocket()) {
             send(a, links.peers(0).get(1), 1);
             assertEquals(take(b).getSocketAddress(), address(links.peers(1).get(0)));
@@ -84,7 +84,7 @@
     /** Of 100 so many come, late as they should, and out of order only where that is wanted. */
     @Test(dataProvider = "impairments")
     public void datagramsSuffer(Impairment i, int least, int most) throws Exception {
-        try (Links links = new Links(2, 3, p -> { }); DatagramSocket a = gateway(links, 0); DatagramSocket b = gateway(links, 1)) {
+        try (Links links = new Links(2, 3, p -> { }, p -> { }); DatagramSocket a = gateway(links, 0); DatagramSocket b = gateway(links, 1)) {
             links.between(List.of(0), List.of(1), i, true, false);
             double from = System.nanoTime() / 1e6;
             for (int n = 0; n < 100; n++) {
@@ -119,7 +119,7 @@
     @Test
     public void streamsWaitAndHeal() throws Exception {
         List<Integer> left = new java.util.concurrent.CopyOnWriteArrayList<>();
-        try (Links links = new Links(2, 1, left::add); ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+        try (Links links = new Links(2, 1, p -> { }, left::add); ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             InetSocketAddress door = address(":" + links.server(1, "s", server.getLocalPort()));
             try (Socket near = new Socket(door.getAddress(), door.getPort()); Socket far = server.accept()) {
                 assertEquals(links.from(far.getPort()), 1);
@@ -169,7 +169,7 @@
     /** Much goes through a slow, narrow stream whole and in order, and no more is held than the bound. */
     @Test
     public void streamsKeepOrder() throws Exception {
-        try (Links links = new Links(1, 1, p -> { }); ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+        try (Links links = new Links(1, 1, p -> { }, p -> { }); ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             int port = links.counter(0, server.getLocalPort());
             links.counter(List.of(0), new Impairment(false, false, 5, 10, 8000, 0, 0, 0), true, true);
             byte[] much = new byte[3 << 20];
