--- a/lab/src/main/java/tinford/lab/fleet/FleetBench.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -54,6 +54,12 @@
             return links.server(gateway, server, port);
         }
 
+        @Override
+        public String group(String server) {
+            List<String> all = script.groups();
+            return all.isEmpty() ? Between.super.group(server) : all.get(Integer.parseInt(server.substring(1)) % all.size());
+        }
+
         @Override
         public int counter(int gateway, int port) {
             return links.counter(gateway, port);
--- a/lab/src/main/java/tinford/lab/fleet/FleetScript.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetScript.java
@@ -17,9 +17,11 @@
  * @param scenario its file, from where the script lies; {@code set} values in place of the file's
  * @param offer connections that each server offers, 0 where no promise is made
  * @param further dispatches over first ones, of these, while strained; 0 where no promise is made
+ * @param groups of servers, dealt out in turn; none for one
  * @param tries at an ill server a second; 0 where no promise is made
  */
-public record FleetScript(String scenario, Map<String, String> set, int offer, double further, double tries, List<Fault> faults) {
+public record FleetScript(String scenario, Map<String, String> set, int offer, double further, double tries, List<String> groups,
+        List<Fault> faults) {
     /** What can go wrong: with the links and the gateways, and all that a scenario knows. */
     public enum Kind {
         /** From gateways {@code who} to gateways {@code to}: delay, jitter, rate. */
@@ -69,6 +71,7 @@
 
     public FleetScript {
         set = set == null ? Map.of() : Map.copyOf(set);
+        groups = groups == null ? List.of() : List.copyOf(groups);
         faults = faults == null ? List.of() : List.copyOf(faults);
     }
 
--- a/lab/src/main/java/tinford/lab/fleet/Lives.java
+++ b/lab/src/main/java/tinford/lab/fleet/Lives.java
@@ -9,9 +9,12 @@
 final class Lives {
     private final Set<Integer> up = new HashSet<>();
     private final Set<Integer> without = new HashSet<>(); // a term
+    private final Map<Integer, Double> ends = new HashMap<>(); // of terms, where it is told
+    private double now;
     private final Map<Integer, Double> since = new HashMap<>(); // undisturbed
 
     void see(History.Line l) {
+        now = l.at();
         int who = l.number("who");
         switch (l.kind()) {
             case "ready", "continued" -> {
@@ -25,6 +28,9 @@
             case "term" -> {
                 if (l.is("holds")) {
                     without.remove(l.gateway());
+                    if (l.fields().has("for")) {
+                        ends.put(l.gateway(), l.at() + l.fields().path("for").asDouble());
+                    }
                 } else {
                     without.add(l.gateway());
                 }
@@ -35,7 +41,7 @@
 
     /** Acts on what was granted to it. */
     boolean acts(int gateway) {
-        return up.contains(gateway) && !without.contains(gateway);
+        return up.contains(gateway) && !without.contains(gateway) && now < ends.getOrDefault(gateway, Double.POSITIVE_INFINITY);
     }
 
     /** It has been up, and running, all the time from then on. */
--- a/lab/src/main/java/tinford/lab/fleet/Stages.java
+++ b/lab/src/main/java/tinford/lab/fleet/Stages.java
@@ -2,18 +2,19 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
- * No two gateways that act are more than one stage of a move apart, and a frontend moves only when what it needs has moved at all of them.
+ * No two gateways that act are more than one stage of a move apart, and a frontend moves only when what it needs has moved at all of them, also on the way back.
  * One that was paused, killed or without its term counts again from the next stage that it tells.
  */
 final class Stages implements Promise {
     private final Map<String, Map<Integer, History.Line>> stages = new LinkedHashMap<>(); // by move and gateway, the last told
     private final Map<String, List<String>> needs = new LinkedHashMap<>(); // by move and frontend
-    private final Map<String, Map<Integer, History.Line>> moved = new LinkedHashMap<>(); // by move and frontend, who has moved it
 
     @Override
     public void see(History.Line l, Lives lives, Finds finds) {
@@ -35,14 +36,29 @@
                         List.of(other, l));
             }
         }
-        for (var f : l.fields().path("moved")) {
-            moved.computeIfAbsent(move + " " + f.asText(), k -> new TreeMap<>()).putIfAbsent(l.gateway(), l);
-            for (String needed : needs.getOrDefault(move + " " + f.asText(), List.of())) {
-                Map<Integer, History.Line> have = moved.getOrDefault(move + " " + needed, Map.of());
-                its.values().stream().filter(o -> !have.containsKey(o.gateway())).findFirst().ifPresent(o -> finds.breach("gateway "
-                        + l.gateway() + " moves " + f.asText() + ", which needs " + needed + ", not yet moved at gateway " + o.gateway(),
-                        o == l ? List.of(l) : List.of(o, l)));
+        for (History.Line other : its.values()) {
+            order(move, l, other, finds);
+            if (other != l) {
+                order(move, other, l, finds);
             }
         }
     }
+
+    /** What has begun at one gateway needs what must have moved at the other. */
+    private void order(String move, History.Line begun, History.Line other, Finds finds) {
+        Set<String> moved = texts(other, "moved");
+        Set<String> all = texts(begun, "moved");
+        all.addAll(texts(begun, "begun"));
+        for (String f : all) {
+            needs.getOrDefault(move + " " + f, List.of()).stream().filter(n -> !moved.contains(n)).findFirst().ifPresent(n -> finds.breach(
+                    "gateway " + begun.gateway() + " moves " + f + ", which needs " + n + ", not yet moved at gateway " + other.gateway(),
+                    other == begun ? List.of(begun) : begun.at() < other.at() ? List.of(begun, other) : List.of(other, begun)));
+        }
+    }
+
+    private static Set<String> texts(History.Line l, String field) {
+        Set<String> all = new LinkedHashSet<>();
+        l.fields().path(field).forEach(f -> all.add(f.asText()));
+        return all;
+    }
 }
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -181,7 +181,7 @@
             boolean further = beyond.get(t.id) != null;
             between.tell("dispatch", "server", machine.id, "from", between.from(w.socket.getPort()), "req", words[2], "frontend",
                     t.frontend.name, "effect", t.frontend.effect.name(), "units", t.units, "further", further, "group", machine.group(),
-                    "window", t.frontend.repeatWindow);
+                    "class", between.group(machine.id), "window", t.frontend.repeatWindow);
             if (!further) {
                 Plan p = t.customer.plan;
                 boolean in = used.computeIfAbsent(t.customer.id, k -> new Bucket(p.rate, p.burst, now)).take(t.units, now);
@@ -287,7 +287,7 @@
         String list(int gateway, Collection<Host> some, boolean whole) {
             List<Object> all = new ArrayList<>();
             for (Host h : some) {
-                all.add(Map.of("host", h.machine.id, "dial", at(between.server(gateway, h.machine.id, h.port)), "site", h.machine.zone, "class", "m", "block", 0, "share", 1.0,
+                all.add(Map.of("host", h.machine.id, "dial", at(between.server(gateway, h.machine.id, h.port)), "site", h.machine.zone, "class", between.group(h.machine.id), "block", 0, "share", 1.0,
                         "health", h.state == Srv.State.UP ? "ready" : h.state == Srv.State.DRAINING ? "draining" : "gone",
                         "born_ms", h.machine.born));
             }
--- a/lab/src/main/java/tinford/lab/sockets/Between.java
+++ b/lab/src/main/java/tinford/lab/sockets/Between.java
@@ -23,6 +23,11 @@
         return port;
     }
 
+    /** The group of servers that discovery tells a server to belong to. */
+    default String group(String server) {
+        return "m";
+    }
+
     /** May put fields into a gateway's configuration, and into its settings' limits. */
     default void configure(int gateway, Map<String, Object> config, Map<String, Object> limits) throws IOException { }
 
