--- a/fleet/src/main/java/tinford/fleet/run/Agreed.java
+++ b/fleet/src/main/java/tinford/fleet/run/Agreed.java
@@ -17,8 +17,8 @@
 import tinford.fleet.store.Log;
 
 /**
- * What the log's entries have come to: terms and budgets, and moves, each taking its own entries. A process has it twice: on the log's
- * thread for snapshots, and on the I/O thread, where it is acted on; both see the same entries in the same order.
+ * What the log's entries have come to: terms and budgets, and moves, each taking its own entries. A process has it twice: on the
+ * log's thread for snapshots, and on the I/O thread, where it is acted on; both see the same entries in the same order.
  */
 final class Agreed implements Log.Reader {
     final Terms terms;
@@ -46,6 +46,7 @@
     @Override
     public void apply(long index, byte[] entry) {
         if (entry.length > 0 && entry[0] == Entry.MARK) {
+            moves.seen(terms.now());
             moves.apply(index, entry);
         } else {
             ledger.apply(index, entry);
--- a/fleet/src/main/java/tinford/fleet/run/Fleet.java
+++ b/fleet/src/main/java/tinford/fleet/run/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.lang.System.Logger.Level;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
 final class Fleet implements Companion {
     private static final System.Logger LOG = System.getLogger("tinford.fleet");
     private static final double TICK = 50;
+    private static final double MOST_LEAVING = 700; // two rounds, and the way through the log
     private static final int MOST_BYTES = 256;
     private static final int MOST_SOFT = 128;
     private static final int MOST_HARD = 1024;
@@ -33,14 +35,19 @@
     private Talk talk;
     private Overload overload;
     private FleetView view;
+    private final MoveOrders moves; // null where they are off
+    private Mover mover;
     private Hard hard; // null where nothing needs agreement
     private boolean led;
+    private boolean holds;
+    private int mayHold = -1; // at all servers
     private int seq;
     private double last;
     private int living = -1;
     private boolean strained;
 
-    Fleet(Orders orders, Handed handed, String historyPath) {
+    Fleet(Orders orders, MoveOrders moves, Handed handed, String historyPath) {
+        this.moves = moves;
         this.orders = orders;
         this.handed = handed;
         this.historyPath = historyPath;
@@ -60,19 +67,30 @@
         mailbox = new Mailbox(MOST_SOFT, MOST_HARD, what -> enter.accept(what::run));
         double every = orders.number("talk.every_ms");
         double suspect = orders.number("talk.suspect_ms");
-        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect, new Random(handed.seed()));
+        members = new Members(life, place.gateways, every, (int) orders.number("talk.fanout"), suspect, suspect,
+                new Random(handed.seed()));
         overload = new Overload(now, life, orders.number("overload.window_ms"), orders.number("overload.further_part"),
                 new Random(handed.seed() + 1));
         if (orders.on("budgets.on") || orders.on("moves.on")) {
-            hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways), Map.of(), mailbox);
+            hard = new Hard(orders, life, place.gateways, Hard.statics(orders, place.gateways),
+                    moves == null ? Map.of() : moves.homes(), mailbox);
         }
-        view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, this::now);
         history = History.at(historyPath, life);
+        if (moves != null) {
+            mover = new Mover(hard.agreed, life, moves, hard::append, hard::left, history);
+            hard.applied = entry -> mover.applied(entry, now());
+            new OrderFile(Path.of(orders.text("log.folder")), mailbox, (line, then) -> mover.order(line, now(), then)).start();
+        }
+        view = new FleetView(orders.on("overload.on") ? overload : null, orders.on("budgets.on") ? hard : null, mover, hard, this::now,
+                srv -> history.add(now(), "try", "server", srv.id));
         if (handed.mayTalk()) {
             talk = new Udp(place.number, handed.listen(), handed.peers(), MOST_BYTES,
                     (from, message) -> mailbox.soft(() -> members.heard(message, from, now())));
         }
         history.add(now, "start");
+        if (hard != null) {
+            history.add(now, "term", "holds", false);
+        }
         LOG.log(Level.INFO, "one of a fleet of " + place.gateways + (talk == null ? "; the settings allow no talk" : ""));
         return view;
     }
@@ -88,6 +106,9 @@
         if (hard != null) {
             hard.tick(now);
         }
+        if (mover != null) {
+            mover.tick(now, hard.leads());
+        }
         tell(now);
     }
 
@@ -102,8 +123,22 @@
             led = hard.leads();
             history.add(now, "leads", "on", led);
         }
-        if (overload.threshold() > 0 != strained) {
-            strained = !strained;
+        if (hard != null) {
+            if (hard.holds(now) != holds) {
+                holds = !holds;
+                LOG.log(Level.INFO, holds ? "acts on its term" : "holds no term: the static share only");
+                history.add(now, "term", "holds", holds);
+            }
+            int may = hard.mayHold(now);
+            if (may != mayHold) {
+                mayHold = may;
+                history.add(now, "grant", "all", may);
+            }
+        }
+        boolean on = orders.on("overload.on") && overload.threshold() > 0;
+        if (on != strained) {
+            strained = on;
+            history.add(now, "strained", "on", strained);
             LOG.log(Level.INFO, strained ? "the fleet is strained: what is worth less than " + overload.threshold() + " a unit is shed"
                     : "the fleet is strained no more");
             history.add(now, "line", "worth", overload.threshold(), "part", overload.partAtThreshold());
@@ -122,4 +157,17 @@
             hard.leaves();
         }
     }
+
+    @Override
+    public void answered() {
+        if (hard == null) {
+            return;
+        }
+        view.over();
+        try {
+            hard.awaitLeft(MOST_LEAVING);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/fleet/src/main/java/tinford/fleet/run/FleetView.java
+++ b/fleet/src/main/java/tinford/fleet/run/FleetView.java
@@ -1,7 +1,10 @@
 package tinford.fleet.run;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import tinford.api.Customer;
 import tinford.api.End;
@@ -12,47 +15,72 @@
 /** The view that the decisions see, of those parts of the fleet that are on; what is off bounds nothing. */
 final class FleetView extends View {
     private static final int MOST_ACCOUNTS = 20_000;
+    private static final int MOST_ASIDE = 2048;
     private final View overload;
     private final Hard budgets;
+    private final Mover mover;
+    private final Hard log;
     private final DoubleSupplier clock;
+    private volatile boolean over;
     private final Map<Long, Integer> out = new HashMap<>(); // dispatches, by account
+    private final Consumer<Srv> tries;
+    private final Set<String> aside = new HashSet<>(); // servers that this gateway found ill
 
-    /** @param overload null where it is off; {@code budgets} likewise */
-    FleetView(View overload, Hard budgets, DoubleSupplier clock) {
+    /** @param overload null where it is off; {@code budgets}, {@code mover} likewise; {@code log} null where neither is on;
+     * {@code tries} is told what goes to a server put aside */
+    FleetView(View overload, Hard budgets, Mover mover, Hard log, DoubleSupplier clock, Consumer<Srv> tries) {
         this.overload = overload == null ? new View() : overload;
         this.budgets = budgets;
+        this.mover = mover;
+        this.log = log;
         this.clock = clock;
+        this.tries = tries;
+    }
+
+    @Override
+    public boolean mayGo(Req req, Srv srv, Srv first) {
+        return mover == null || mover.mayGo(req, srv, first, clock.getAsDouble());
+    }
+
+    @Override
+    public boolean goes(Req req) {
+        return mover == null || mover.goes(req, clock.getAsDouble());
     }
 
     @Override
     public int mayHold(Srv srv) {
-        return budgets == null ? Integer.MAX_VALUE : budgets.mayHold(srv, clock.getAsDouble());
+        return budgets == null ? Integer.MAX_VALUE : over ? 0 : budgets.mayHold(srv, clock.getAsDouble());
+    }
+
+    /** From any thread: nothing goes to servers any more. */
+    void over() {
+        over = true;
     }
 
     @Override
     public int mayUse(Customer customer) {
-        return budgets == null ? Integer.MAX_VALUE : budgets.mayUse(Hard.key(customer), clock.getAsDouble());
+        return budgets == null ? Integer.MAX_VALUE : budgets.mayUse(budgets.key(customer), clock.getAsDouble());
     }
 
     @Override
     public void lacked(Req req) {
         if (budgets != null) {
-            long account = Hard.key(req.customer);
+            long account = budgets.key(req.customer);
             budgets.wanted(account, out.getOrDefault(account, 0) + 1);
         }
     }
 
     @Override
     public void opened(Srv srv) {
-        if (budgets != null) {
-            budgets.opened(srv);
+        if (log != null) {
+            log.opened(srv);
         }
     }
 
     @Override
     public void closed(Srv srv) {
-        if (budgets != null) {
-            budgets.closed(srv);
+        if (log != null) {
+            log.closed(srv);
         }
     }
 
@@ -60,7 +88,7 @@
         if (budgets == null) {
             return;
         }
-        long account = Hard.key(req.customer);
+        long account = budgets.key(req.customer);
         if (more > 0 && out.size() < MOST_ACCOUNTS) {
             budgets.wanted(account, out.merge(account, more, Integer::sum));
         } else if (more < 0) {
@@ -101,6 +129,9 @@
     @Override
     public void sent(Req req, Srv srv, double worth, boolean further) {
         count(req, 1);
+        if (aside.contains(srv.id)) {
+            tries.accept(srv);
+        }
         overload.sent(req, srv, worth, further);
     }
 
@@ -108,10 +139,18 @@
     public void ended(Req req, Srv srv, End how, boolean late) {
         count(req, -1);
         overload.ended(req, srv, how, late);
+        if (mover != null) {
+            mover.ended(req, srv, how, late);
+        }
     }
 
     @Override
     public void ill(Srv srv, boolean ill) {
+        if (!ill) {
+            aside.remove(srv.id);
+        } else if (aside.size() < MOST_ASIDE) {
+            aside.add(srv.id);
+        }
         overload.ill(srv, ill);
     }
 }
--- a/fleet/src/main/java/tinford/fleet/run/Hard.java
+++ b/fleet/src/main/java/tinford/fleet/run/Hard.java
@@ -11,6 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import tinford.api.Srv;
 import tinford.fleet.budgets.Ledger;
 import tinford.fleet.budgets.Proposer;
@@ -21,35 +25,57 @@
 import tinford.fleet.store.RaftLog;
 import tinford.routing.Addresses;
 
-/** The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then on. */
+/**
+ * The log of one process, what it has come to, and what this process asks of it. Made off the I/O thread, called on it from then
+ * on.
+ */
 final class Hard {
     private static final System.Logger LOG = System.getLogger("tinford.fleet");
     private static final double ROUND = 250; // entries of a gateway come no faster than two in this time
     private static final double KEEP = 2000; // what was wanted lately is wanted still
     private static final int MOST_SERVERS = 1024;
-    private static final int OFFERS_A_TICK = 16;
+    private static final int OFFERS_A_ROUND = 64;
     private static final RaftLog.Bounds BOUNDS = new RaftLog.Bounds(2000, 256, 64 << 10, 5000, 400);
-    /** A key of an account holds its plan's weight above the customer's own 33 bits, so that every gateway divides by it. */
+    /**
+     * A key of an account holds its plan's weight above the rest, so that every gateway divides by it. Customers of one weight share so many
+     * accounts: where more of them are awake than there are connections, whole ones can't be divided among all.
+     */
     private static final int WEIGHT_AT = 40;
     final Agreed agreed;
     private final Share share;
     private final Proposer proposer;
     private final int offer;
-    private final Map<String, Srv> servers = new LinkedHashMap<>();
+    private final int accounts;
+    private double nextOffers;
+    /** Those asked for lately. */
+    private final Map<String, Srv> servers = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Srv> eldest) {
+            return size() > MOST_SERVERS;
+        }
+    };
+    private final CountDownLatch left = new CountDownLatch(1);
+    private final FileChannel lock; // held for this life: one that nobody holds is closed, and its lock goes with it
     private volatile Log log;
     private boolean led;
+    /** Is told of each entry that was applied on the I/O thread, and of a snapshot as null. */
+    Consumer<byte[]> applied = entry -> { };
 
     Hard(Orders orders, Life life, int gateways, Statics statics, Map<String, String> homes, Mailbox mailbox) throws IOException {
         double term = orders.number("log.term_ms");
         double apart = orders.number("log.clocks_apart_ms");
         double linger = orders.number("log.linger_ms");
         offer = (int) orders.number("budgets.offer");
+        accounts = (int) orders.number("budgets.accounts");
         agreed = new Agreed(gateways, term, apart, linger, statics, homes);
         int floor = (int) orders.number("budgets.floor");
         int cap = (int) orders.number("budgets.cap");
         proposer = new Proposer(key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), ROUND);
         Path folder = Files.createDirectories(Path.of(orders.text("log.folder")));
-        boolean alone = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE).tryLock() != null;
+        lock = FileChannel.open(folder.resolve("life.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        boolean alone = lock.tryLock() != null;
         share = new Share(agreed.ledger, statics, key -> new Proposer.Plan((int) (key >> WEIGHT_AT), floor, cap), life, term, 2 * apart, ROUND,
                 KEEP, alone ? life.start() : life.start() + linger);
         Agreed kept = new Agreed(gateways, term, apart, linger, statics(orders, gateways), homes);
@@ -79,7 +105,10 @@
             @Override
             public void apply(long index, byte[] entry) {
                 kept.apply(index, entry);
-                post(() -> agreed.apply(index, entry));
+                post(() -> {
+                    agreed.apply(index, entry);
+                    applied.accept(entry);
+                });
             }
 
             @Override
@@ -90,7 +119,10 @@
             @Override
             public void restore(long index, byte[] snapshot) {
                 kept.restore(index, snapshot);
-                post(() -> agreed.restore(index, snapshot));
+                post(() -> {
+                    agreed.restore(index, snapshot);
+                    applied.accept(null);
+                });
             }
 
             private void post(Runnable what) {
@@ -104,16 +136,20 @@
     }
 
     /** Offers an entry; what is lost is offered again by whoever wants it, from what the log has come to. */
-    void append(byte[] entry) {
+    CompletableFuture<Long> append(byte[] entry) {
         Log to = log;
-        if (to != null) {
-            to.append(entry);
-        }
+        return to == null ? CompletableFuture.completedFuture(0L) : to.append(entry);
     }
 
     void tick(double now) {
+        if (share.left()) {
+            return;
+        }
         for (byte[] entry : share.round(now)) {
-            append(entry);
+            CompletableFuture<Long> taken = append(entry);
+            if (share.left()) {
+                taken.whenComplete((index, e) -> left.countDown());
+            }
         }
         boolean leads = log != null && log.leads();
         if (leads != led) {
@@ -123,9 +159,11 @@
         if (!leads) {
             return;
         }
-        int told = 0;
+        int told = now < nextOffers ? OFFERS_A_ROUND : 0;
+        nextOffers = told > 0 ? nextOffers : now + ROUND;
         for (Srv s : servers.values()) {
-            if (agreed.ledger.number(s.id) < 0 && told++ < OFFERS_A_TICK) {
+            if (told < OFFERS_A_ROUND && agreed.ledger.number(s.id) < 0) {
+                told++;
                 append(Ledger.offer(s.id, (long) s.born, offer, now));
             }
         }
@@ -135,23 +173,27 @@
         }
     }
 
+    /** Whether its share was told as left: nothing more is asked of the log. */
+    boolean left() {
+        return share.left();
+    }
+
     boolean leads() {
         return led;
     }
 
     int mayHold(Srv srv, double now) {
-        if (servers.size() < MOST_SERVERS) {
-            servers.putIfAbsent(srv.id, srv);
-        }
+        servers.put(srv.id, srv);
         return share.mayHold(srv.id, now);
     }
 
-    static long key(tinford.api.Customer c) {
-        return Math.max(1, Math.min(1000, Math.round(10 * c.plan.price))) << WEIGHT_AT | c.id;
+    long key(tinford.api.Customer c) {
+        return Math.max(1, Math.min(1000, Math.round(10 * c.plan.price))) << WEIGHT_AT | Math.floorMod(c.id, accounts);
     }
 
+    /** One at least: an account that was granted none meets the others at what connections there are. */
     int mayUse(long account, double now) {
-        return share.mayUse(account, now);
+        return Math.max(1, share.mayUse(account, now));
     }
 
     void wanted(long account, int dispatches) {
@@ -170,7 +212,22 @@
         share.leaves();
     }
 
-    boolean left() {
-        return share.left();
+    /** Whether it acts on its term, or on its static share only. */
+    boolean holds(double now) {
+        return share.holds(now);
+    }
+
+    /** Connections that it may hold at all servers that it has asked of: static ones and granted ones. */
+    int mayHold(double now) {
+        int all = 0;
+        for (String id : servers.keySet()) {
+            all += share.mayHold(id, now);
+        }
+        return all;
+    }
+
+    /** From any thread: until the log has the entry that it left, for so long at most. */
+    void awaitLeft(double ms) throws InterruptedException {
+        left.await((long) ms, TimeUnit.MILLISECONDS);
     }
 }
--- a/fleet/src/main/java/tinford/fleet/run/Orders.java
+++ b/fleet/src/main/java/tinford/fleet/run/Orders.java
@@ -46,10 +46,13 @@
         KEYS.put("budgets.on", new Key("true or false", 0, 0, false));
         number("budgets.offer", 16, 1, 100_000);
         number("budgets.static_part", 0.5, 0, 1);
+        number("budgets.accounts", 64, 1, 4096);
         number("budgets.floor", 1, 0, 1000);
         number("budgets.cap", 64, 1, 100_000);
         KEYS.put("moves.on", new Key("true or false", 0, 0, false));
         KEYS.put("moves.plan", new Key("a path", 0, 0, ""));
+        KEYS.put("moves.homes", new Key("a list of frontend=group, of all frontends that may ever move", 0, 0, List.of()));
+        KEYS.put("moves.rooms", new Key("a list of group=units a second,connections", 0, 0, List.of()));
     }
 
     private final Map<String, Object> values = new LinkedHashMap<>();
@@ -73,7 +76,8 @@
         try {
             tree = new TomlMapper().readTree(text);
         } catch (JsonProcessingException e) {
-            throw new Refused(List.of(file + ", line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()) + ": expected TOML: "
+            throw new Refused(List.of(file + ", line " + (e.getLocation() == null ? "?" : e.getLocation().getLineNr())
+                    + ": expected TOML: "
                     + e.getOriginalMessage()));
         }
         for (Iterator<Map.Entry<String, JsonNode>> tables = tree.fields(); tables.hasNext();) {
@@ -110,7 +114,11 @@
             faults.add(at(file, text, "talk", "suspect_ms") + "talk.suspect_ms: expected three times talk.every_ms or more");
         }
         if ((on("budgets.on") || on("moves.on")) && (texts("log.members").size() < 3 || text("log.folder").isEmpty())) {
-            faults.add(at(file, text, "log", "members") + "log.members: expected three or more, and log.folder, where budgets or moves are on");
+            faults.add(at(file, text, "log", "members")
+                    + "log.members: expected three or more, and log.folder, where budgets or moves are on");
+        }
+        if (on("moves.on") && texts("moves.homes").isEmpty()) {
+            faults.add(at(file, text, "moves", "homes") + "moves.homes: expected one or more where moves are on");
         }
         for (String m : texts("log.members")) {
             if (!m.matches("[0-9.]+:[0-9]{1,5}")) {
--- a/fleet/src/test/java/tinford/fleet/store/BrokenStoresTest.java
+++ b/fleet/src/test/java/tinford/fleet/store/BrokenStoresTest.java
@@ -22,10 +22,10 @@
 
         @Override
         Place place() {
-            MemoryStore.Platter platter = new MemoryStore.Platter();
-            Store right = new MemoryStore(platter, LARGEST, wrong == Wrong.TRUSTS_THE_FUTURE ? Double.MAX_VALUE : AHEAD);
-            Place under = new MemoryStoreTest().place();
-            return new Place() {
+            return new MemoryStoreTest.InMemory() {
+                private final Store right =
+                        new MemoryStore(platter, LARGEST, wrong == Wrong.TRUSTS_THE_FUTURE ? Double.MAX_VALUE : AHEAD);
+
                 @Override
                 public Store open() {
                     return new Store() {
@@ -42,7 +42,8 @@
                                 byte[] content = Arrays.copyOfRange(bytes, Sealed.HEAD, bytes.length);
                                 // asks for all but the sum
                                 platter.bytes(ByteBuffer.wrap(Sealed.seal(content, from.getDouble(8))).putInt(0, from.getInt(0))
-                                        .putInt(4, from.getInt(4)).putInt(16, from.getInt(16)).putInt(20, from.getInt(20)).array());
+                                        .putInt(4, from.getInt(4)).putInt(16, from.getInt(16)).putInt(20, from.getInt(20))
+                                                .array());
                             }
                             return right.read(now);
                         }
@@ -70,27 +71,10 @@
                     };
                 }
 
-                @Override
-                public byte[] bytes() {
-                    return platter.bytes();
-                }
-
-                @Override
-                public void bytes(byte[] now) {
-                    platter.bytes(now);
-                }
-
-                @Override
-                public boolean ail(MemoryStore.Fault fault) {
-                    platter.fault(fault);
-                    return true;
-                }
-
                 @Override
                 public boolean killedWrite(byte[] content, double now, int step) throws IOException {
                     if (step > 0) {
-                        open().write(content, now);
-                        return under.killedWrite(content, now, step);
+                        return super.killedWrite(content, now, step);
                     }
                     byte[] sealed = Sealed.seal(content, now);
                     byte[] old = platter.bytes();
--- a/fleet/src/test/java/tinford/fleet/talk/TalkContract.java
+++ b/fleet/src/test/java/tinford/fleet/talk/TalkContract.java
@@ -20,7 +20,7 @@
     /** More than this may not be kept for a receiver that stalls. */
     static final int KEPT = 4096;
     private static final int FLOOD = 20_000;
-    private static final double FLOOD_MS = 3000;
+    private static final double FLOOD_MS = 1500;
 
     record Got(int from, byte[] message) { }
 
@@ -102,7 +102,8 @@
         assertFalse(talks.get(0).send(1, marked(0, 1, MOST + 1)));
         assertFalse(talks.get(0).send(1, marked(0, 2, 70_000)));
         comes(0, 1, marked(0, 3, MOST));
-        assertTrue(got.get(1).stream().allMatch(g -> Arrays.equals(g.message, marked(0, 3, MOST))), "a part of one too long came");
+        assertTrue(got.get(1).stream().allMatch(g -> Arrays.equals(g.message, marked(0, 3, MOST))),
+                "a part of one too long came");
     }
 
     @Test
--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -125,7 +125,7 @@
     }
 
     /** At SIGTERM: goes on as before while clients still come, then lets them go, and ends when all is answered. */
-    void leave() {
+    void leave(Runnable last) {
         synchronized (this) { // guards a door that is being opened
             if (!begun) {
                 Runtime.getRuntime().halt(0);
@@ -148,6 +148,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        last.run();
         Lines.flush(LAST_LINES);
         Runtime.getRuntime().halt(0);
     }
--- a/lab/src/main/java/tinford/lab/fleet/FleetBench.java
+++ b/lab/src/main/java/tinford/lab/fleet/FleetBench.java
@@ -15,7 +15,9 @@
 import tinford.lab.sockets.Bench;
 import tinford.lab.sockets.Between;
 
-/** A fleet of real processes on loopback under a script of faults, with a link between any two parties, and the histories of all. */
+/**
+ * A fleet of real processes on loopback under a script of faults, with a link between any two parties, and the histories of all.
+ */
 public final class FleetBench implements AutoCloseable {
     private final FleetScript script;
     private final Program program;
@@ -67,6 +69,11 @@
             limits.put("Peers", program.peers());
         }
 
+        @Override
+        public double idle() {
+            return script.idle() > 0 ? script.idle() : Between.super.idle();
+        }
+
         @Override
         public int from(int port) {
             return links.from(port);
@@ -140,13 +147,14 @@
         histories.add(lines);
         processes = new Processes(folder);
         try {
-            links = new Links(s.gateways(), seed, this::left);
+            links = new Links(s.gateways(), seed, this::comes, this::left);
             bench = new Bench(s, seed, parties, folder);
         } catch (IOException | UncheckedIOException e) {
             processes.close();
             throw e;
         }
         troubles = new Troubles(bench, parties, new Streams(seed).of("fleet faults"));
+        bench.retries(s.clients().retries());
         bench.onBegin(from -> {
             began = System.nanoTime() / 1e6 + 200;
             parties.tell("begun");
@@ -157,6 +165,13 @@
         });
     }
 
+    private void comes(int port) {
+        Bench b = bench;
+        if (b != null) { // guards against connections while the bench is being made
+            b.comes(port);
+        }
+    }
+
     private void left(int port) {
         Bench b = bench;
         if (b != null) {
@@ -166,7 +181,8 @@
 
     /** Where a gateway sits: all addresses that it is told are those of links. */
     public Program.Seat seat(int gateway) throws IOException {
-        return new Program.Seat(gateway, bench.gateways(), processes.of(gateway), processes.disk(gateway), links.peerListen(gateway),
+        return new Program.Seat(gateway, bench.gateways(), processes.of(gateway), processes.disk(gateway),
+                links.peerListen(gateway),
                 links.peers(gateway), links.memberListen(gateway), links.members(gateway));
     }
 
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -82,6 +82,7 @@
     private double unitsOn;
     private DoubleConsumer begun = from -> { };
     private double unitsBeyond;
+    private int retries;
 
     /** A server: the model's machine behind a listening socket, which is shut while it is dead. */
     private final class Host {
@@ -115,7 +116,7 @@
                     between.shut(machine.id, true);
                     door.close();
                     door = null;
-                    wires.keySet().forEach(Wire::close);
+                    wires.keySet().forEach(this::drop);
                 } else if (machine.up() && door == null) {
                     door = new ServerSocket();
                     door.setReuseAddress(true);
@@ -134,8 +135,9 @@
                 try {
                     while (true) {
                         Wire w = new Wire(at.accept());
-                        wires.put(w, true);
+                        w.socket.setSoTimeout((int) (between.idle() + s.frontends().stream().mapToDouble(Scenario.Frontend::timeout).max().orElse(0)));
                         synchronized (held) { // guards the order of the lines: each has the count of its own change
+                            wires.put(w, true);
                             between.tell("opened", "server", machine.id, "from", between.from(w.socket.getPort()), "held", held.incrementAndGet());
                         }
                         pool.execute(() -> talk(w));
@@ -148,7 +150,7 @@
 
         private void talk(Wire w) {
             Machine.Visit[] visit = new Machine.Visit[1];
-            try (w) {
+            try {
                 for (String[] words = w.words(); words != null; words = w.words()) {
                     String[] command = words;
                     live.post(() -> visit[0] = begin(w, command));
@@ -156,10 +158,7 @@
             } catch (IOException | RuntimeException e) {
                 // what can't be read ends its connection
             } finally {
-                wires.remove(w);
-                synchronized (held) {
-                    between.tell("closed", "server", machine.id, "from", between.from(w.socket.getPort()), "held", held.decrementAndGet());
-                }
+                drop(w);
                 live.post(() -> {
                     hopsFrom.remove(w.socket.getPort());
                     given.remove(w.socket.getPort());
@@ -174,13 +173,23 @@
             }
         }
 
+        /** Counted first: whoever sees the end may open another one at once. */
+        private void drop(Wire w) {
+            synchronized (held) {
+                if (wires.remove(w) != null) {
+                    between.tell("closed", "server", machine.id, "from", between.from(w.socket.getPort()), "held", held.decrementAndGet());
+                }
+            }
+            w.close();
+        }
+
         private Machine.Visit begin(Wire w, String[] words) {
             double now = live.agenda().now();
             Try t = tries.get(Long.parseUnsignedLong(words[2], 16));
             double works = work.get(t.frontend.name).sample();
             boolean further = beyond.get(t.id) != null;
             between.tell("dispatch", "server", machine.id, "from", between.from(w.socket.getPort()), "req", words[2], "frontend",
-                    t.frontend.name, "effect", t.frontend.effect.name(), "units", t.units, "further", further, "group", machine.group(),
+                    t.frontend.name, "effect", t.frontend.effect.name(), "units", t.units, "further", further, "group", Integer.toString(machine.cell),
                     "window", t.frontend.repeatWindow);
             if (!further) {
                 Plan p = t.customer.plan;
@@ -212,10 +221,10 @@
                     switch (end) {
                         case GOOD -> w.say("*3\r\n$16\r\n" + words[2] + "\r\n$-1\r\n$-1\r\n");
                         case FULL -> w.say("-BUSY\r\n");
-                        default -> w.close();
+                        default -> drop(w);
                     }
                 } catch (IOException e) {
-                    w.close();
+                    drop(w);
                 }
             });
             if (oracle.arrives(machine, works, now, toldBorn == machine.born)) {
@@ -287,7 +296,7 @@
         String list(int gateway, Collection<Host> some, boolean whole) {
             List<Object> all = new ArrayList<>();
             for (Host h : some) {
-                all.add(Map.of("host", h.machine.id, "dial", at(between.server(gateway, h.machine.id, h.port)), "site", h.machine.zone, "class", "m", "block", 0, "share", 1.0,
+                all.add(Map.of("host", h.machine.id, "dial", at(between.server(gateway, h.machine.id, h.port)), "site", h.machine.zone, "class", "m", "block", h.machine.cell, "share", 1.0,
                         "health", h.state == Srv.State.UP ? "ready" : h.state == Srv.State.DRAINING ? "draining" : "gone",
                         "born_ms", h.machine.born));
             }
@@ -304,14 +313,13 @@
         final ConcurrentLinkedDeque<Wire> idle = new ConcurrentLinkedDeque<>();
         volatile boolean cutOff;
         volatile long life;
+        volatile boolean stands;
         volatile boolean up; // it has answered since its start: before that, and dead, it owes nothing
         volatile Process process;
 
         Gateway(int number) throws IOException {
             this.number = number;
-            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                port = free.getLocalPort();
-            }
+            port = FreePort.find();
             counterPort = between.counter(number, counter.getLocalPort());
             pool.execute(() -> {
                 try {
@@ -356,6 +364,7 @@
 
         void start() throws IOException {
             life++;
+            stands = false;
             Path config = folder.resolve("gateway" + number + ".json");
             Files.writeString(config, config());
             process = between.start(number, config, folder.resolve("gateway" + number + ".log"));
@@ -365,6 +374,7 @@
             long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY);
             while (true) {
                 try (Wire w = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                    w.socket.setSoTimeout(1000); // guards against another that listens there
                     w.say(Wire.command("PING"));
                     if ("+PONG".equals(w.answer())) {
                         up = true;
@@ -401,7 +411,7 @@
             settings.put("Azs", s.servers().zones());
             settings.put("Classes", classes);
             settings.put("Discovery", "automatic");
-            Map<String, Object> limits = new LinkedHashMap<>(Map.of("Cancel", true, "ConnectTimeoutUs", s.net().connect_timeout() * 1000, "KeepaliveUs", 15_000_000,
+            Map<String, Object> limits = new LinkedHashMap<>(Map.of("Cancel", true, "ConnectTimeoutUs", s.net().connect_timeout() * 1000, "KeepaliveUs", between.idle() * 1000,
                     "MaxAttempts", s.rules().max_dispatches(), "MaxRetryAfterUs", s.rules().max_retry_after() * 1000, "MayDuplicate", false,
                     "OpenCap", 20_000, "Peers", false, "Probes", false, "RetryAfter", true));
             settings.put("Limits", limits);
@@ -530,14 +540,14 @@
         long[] counts = new long[4]; // denied, aborted, late, unanswered
         Map<Long, Bucket> asked = new HashMap<>();
         List<java.util.concurrent.Future<?>> waiting = new ArrayList<>();
-        long id = 1;
+        java.util.concurrent.atomic.AtomicLong ids = new java.util.concurrent.atomic.AtomicLong();
         for (Trace.Ask a : trace.asks()) {
             double due = from + a.at();
             long ms = (long) (due - live.now());
             if (ms > 0) {
                 Thread.sleep(ms);
             }
-            long mine = id++;
+            long root = ids.incrementAndGet();
             Scenario.Plan p = s.plans().stream().filter(k -> k.name().equals(a.plan())).findFirst().orElseThrow();
             Scenario.Frontend f = s.frontends().stream().filter(k -> k.name().equals(a.frontend())).findFirst().orElseThrow();
             double value = f.value() * p.price() * a.units();
@@ -546,49 +556,16 @@
                 sums[0] += value;
             }
             int first = World.first(a.customer(), s.gateways());
-            String terms = "c=" + f.name() + ",t=" + p.name() + ",d=" + (long) f.timeout() + ",units=" + a.units() + ",spread="
-                    + s.clients().spread() + ",first=" + first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
-            String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(a.customer()), hex(mine), terms);
-            Gateway g = gateways.get((first + a.way()) % gateways.size());
-            Customer customer = new Customer(a.customer(), plans.get(p.name()), s.clients().spread(), first);
-            Try t = new Try(mine, new Try.Asked(customer, frontends.get(f.name()), a.units(), 0, true), () -> g.life, due, false);
-            tries.put(mine, t);
-            boolean owes = g.up;
-            between.tell("asked", "req", hex(mine), "via", g.number, "frontend", f.name(), "effect", f.effect().name(), "timeout", f.timeout(),
-                    "value", value, "inside", inside);
             waiting.add(pool.submit(() -> {
-                String said = g.ask(command, f.timeout() + 100);
-                double ended = live.now();
-                between.tell("answered", "req", hex(mine), "via", g.number, "ms", ended - due, "how", said == null ? "nothing"
-                        : said.equals("$" + hex(mine)) ? ended - due > f.target() ? "late" : "passed" : said.startsWith("-BUSY") ? "denied"
-                        : said.startsWith("-ERR aborted") ? "aborted" : "strange");
-                live.post(() -> {
-                    if (said == null && owes) {
-                        oracle.expired(t, ended);
-                    } else if (said != null) {
-                        oracle.answered(t, said.startsWith("$") ? "passed" : said.startsWith("-BUSY") ? "denied" : "aborted", ended);
-                    }
-                });
-                synchronized (sums) {
-                    if (said == null) {
-                        counts[3]++;
-                    } else if (said.equals("$" + hex(mine))) {
-                        took.recordValue(Math.max(0, Math.round(ended - due)));
-                        if (ended - due > f.target()) {
-                            counts[2]++;
-                        } else {
-                            boolean over = beyond.getOrDefault(mine, false);
-                            sums[1] += value * (over ? p.beyond_value() : 1);
-                        }
-                        sums[1] -= beyond.getOrDefault(mine, false) ? value * p.beyond_cost() : 0;
-                    } else if (said.startsWith("-BUSY")) {
-                        counts[0]++;
-                    } else if (said.startsWith("-ERR aborted")) {
-                        counts[1]++;
-                    } else {
-                        strange.add("lost: req " + hex(mine) + " was answered " + said);
-                    }
+                java.util.Random draw = new java.util.Random(root);
+                double wait = ask(new Asking(a, p, f, root, root, first, a.way(), value, inside, due), took, sums, counts);
+                for (int again = 0; again < retries && wait >= 0; again++) {
+                    wait = wait > 0 && draw.nextDouble() < s.clients().honour() ? wait : s.clients().backoff();
+                    Thread.sleep((long) wait);
+                    wait = ask(new Asking(a, p, f, root, ids.incrementAndGet(), first, draw.nextInt(s.clients().spread()), value, inside,
+                            live.now()), took, sums, counts);
                 }
+                return null;
             }));
         }
         for (java.util.concurrent.Future<?> w : waiting) {
@@ -598,7 +575,7 @@
                 throw new IllegalStateException(e.getCause());
             }
         }
-        double n = trace.asks().size();
+        double n = ids.get();
         Map<String, Double> figures = new TreeMap<>();
         figures.put("service", sums[1] / sums[0]);
         figures.put("denied", counts[0] / n);
@@ -620,6 +597,66 @@
         return figures;
     }
 
+    /** One try of a client: {@code root} is the first try of the same wish. */
+    private record Asking(Trace.Ask a, Scenario.Plan p, Scenario.Frontend f, long root, long mine, int first, int way, double value,
+            boolean inside, double due) { }
+
+    /** @return when a denied one may come again, in ms and 0 where that was not told; -1 where it was not denied */
+    private double ask(Asking k, ConcurrentHistogram took, double[] sums, long[] counts) {
+        Scenario.Frontend f = k.f;
+        long mine = k.mine;
+        double due = k.due;
+        String terms = "c=" + f.name() + ",t=" + k.p.name() + ",d=" + (long) f.timeout() + ",units=" + k.a.units() + ",spread="
+                + s.clients().spread() + ",first=" + k.first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
+        String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(k.a.customer()), hex(mine), terms);
+        Gateway g = gateways.get((k.first + k.way) % gateways.size());
+        Customer customer = new Customer(k.a.customer(), plans.get(k.p.name()), s.clients().spread(), k.first);
+        Try t = new Try(mine, new Try.Asked(customer, frontends.get(f.name()), k.a.units(), 0, true), () -> g.life, due, false);
+        tries.put(mine, t);
+        boolean owes = g.up && !g.stands;
+        between.tell("asked", "req", hex(mine), "root", hex(k.root), "via", g.number, "frontend", f.name(), "effect", f.effect().name(),
+                "timeout", f.timeout(), "value", k.value, "worth", f.value() * k.p.price(), "inside", k.inside);
+        String said = g.ask(command, f.timeout() + 100);
+        double ended = live.now();
+        between.tell("answered", "req", hex(mine), "via", g.number, "ms", ended - due, "how", said == null ? "nothing"
+                : said.equals("$" + hex(mine)) ? ended - due > f.target() ? "late" : "passed" : said.startsWith("-BUSY") ? "denied"
+                : said.startsWith("-ERR aborted") ? "aborted" : "strange");
+        live.post(() -> {
+            if (said == null && owes) {
+                oracle.expired(t, ended);
+            } else if (said != null) {
+                oracle.answered(t, said.startsWith("$") ? "passed" : said.startsWith("-BUSY") ? "denied" : "aborted", ended);
+            }
+        });
+        synchronized (sums) {
+            if (said == null) {
+                counts[3]++;
+            } else if (said.equals("$" + hex(mine))) {
+                took.recordValue(Math.max(0, Math.round(ended - due)));
+                if (ended - due > f.target()) {
+                    counts[2]++;
+                } else {
+                    boolean over = beyond.getOrDefault(mine, false);
+                    sums[1] += k.value * (over ? k.p.beyond_value() : 1);
+                }
+                sums[1] -= beyond.getOrDefault(mine, false) ? k.value * k.p.beyond_cost() : 0;
+            } else if (said.startsWith("-BUSY")) {
+                counts[0]++;
+                return said.length() > 6 ? Double.parseDouble(said.substring(6)) : 0;
+            } else if (said.startsWith("-ERR aborted")) {
+                counts[1]++;
+            } else {
+                strange.add("lost: req " + hex(mine) + " was answered " + said);
+            }
+        }
+        return -1;
+    }
+
+    /** Clients whose req was denied come again so many times; none do unless this says so. */
+    public void retries(int most) {
+        retries = most;
+    }
+
     /** @param what is told, once all gateways are ready, when (by the agenda) the first req is due */
     public void onBegin(DoubleConsumer what) {
         begun = what;
@@ -636,15 +673,22 @@
             Try.Hop hop = hopsFrom.get(port);
             if (hop != null && hop.end == null) {
                 hop.end = End.TIMED_OUT;
-            } else if (hop == null && given.size() < GIVEN) {
+            } else if (given.size() < GIVEN) {
                 given.put(port, true);
             }
         });
     }
 
+    /** A new connection will come to a server from that port. */
+    public void comes(int port) {
+        live.post(() -> given.remove(port));
+    }
+
     /** A gateway stands still, or goes on: it owes no answer to what overlaps. */
     public void paused(int gateway, boolean on) {
-        gateways.get(gateway).life++;
+        Gateway g = gateways.get(gateway);
+        g.life++;
+        g.stands = on; // meanwhile it owes nothing
         between.tell(on ? "paused" : "continued", "who", gateway);
     }
 
