Nothing leaves for a client that has gone, nor to a server or in a window that is over

Cause, by reading and by tests that force each crossing: - a dispatch that waits for its connection was nobody's: `Clients.left` told the decisions, which know only that it is out, and `Servers.list` ended idle connections only (`retire`). It was written once the connection came up, up to the settings' connect time-out after its client had gone, or its server had drained; a repeat that was decided on inside its window left after it (`Decide.allowed` asks when it decides). A long command that its server did not read went on leaving, too. - an end was seen only once it was read (`Link.readable`, one read a wake-up): behind other bytes, in a connection that is not listened to any more (`deaf`) or held for want of room (`expect`, `hold`) it was not, and open reqs of that client were sent on. - units of a try stayed counted when all its dispatches had ended before a server had them whole (`Decide.over` gave back only where none had been made).

Ruled out: further dispatches behind a leaving that was told (`again` asks `job.over`); flows; answers kept behind others; idle connections (looked at once more, `rested`).

Change: `Desk.withdraw` ends what has not left whole; `Clients.left`, `Servers.leave` and `within` of `Writer.dispatch` call for it. `Decide.send` asks `Req.gone`, which reads up to 64 KiB ahead. A long command without room is denied and passed over where reqs before it are open; else it waits as before.

--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -164,6 +164,15 @@
         boolean running() { return hops.stream().anyMatch(h -> h.end == null); }
 
         boolean mayHaveRun() { return hops.stream().anyMatch(h -> h.end == null || h.end.mayHaveRun); }
+
+        /** Whether a server may have it whole: only then it has taken its units. */
+        boolean came() { return hops.stream().anyMatch(h -> h.end != End.UNREACHABLE && h.end != End.VOID); }
+
+        /** How much longer what goes out again is known as a repeat: also what waits for its connection. */
+        double repeatsFor() {
+            return hops.stream().filter(h -> h.end == null || h.end.mayHaveRun)
+                    .mapToDouble(h -> h.at + req.frontend.repeatWindow - place.tick - now).min().orElse(1e9);
+        }
     }
 
     private final class Hop {
@@ -218,7 +227,7 @@
         if (job.inside && job.hops.isEmpty() && !job.over) view.denied(job.req, job.base());
         job.over = true;
         line.remove(job);
-        if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
+        if (job.countedIn != null && !job.came()) quotas.takeBack(job);
     }
 
     private void drainLine() {
@@ -263,9 +272,7 @@
             Srv was = h.node.srv;
             boolean drops = f.group == Group.ALL || f.group == Group.ZONE && was.zone.equals(node.srv.zone)
                     || f.group == Group.CELL && was.cell == node.srv.cell;
-            if (f.effect == Effect.NON_REPLAYABLE || !drops || now - h.at >= f.repeatWindow - place.tick) {
-                return false;
-            }
+            if (f.effect == Effect.NON_REPLAYABLE || !drops || job.repeatsFor() <= 0) return false;
         }
         if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return false;
         if (!view.mayGo(job.req, node.srv, first)) return false;
@@ -277,7 +284,7 @@
     }
 
     private boolean send(Job job, Node node) {
-        if (node == null || !allowed(job, node)) return false;
+        if (node == null || !allowed(job, node) || job.req.gone()) return false;
         if (job.hops.isEmpty()) {
             if (job.book.plan.ceilingRate > 0) job.book.ceiling -= job.req.units;
             job.book.tally.sent.add(now, job.worth * job.req.units);
@@ -285,12 +292,13 @@
         }
         view.sent(job.req, node.srv, job.base(), !job.hops.isEmpty());
         Hop hop = new Hop(job, node);
+        double within = job.req.frontend.effect == Effect.UNIQUED ? job.repeatsFor() : 1e9;
         job.hops.add(hop);
         job.book.open++;
         fleet.sent(hop);
         // guards against reqs that hang wherever they go: what earns nothing keeps no server and no slot
         double cap = job.targetAt - now + 0.25 * job.req.frontend.target;
-        out.dispatch(job.req, node.srv, job.req.frontend.lateValue > 0 ? 0 : Math.max(cap, TICK_MS));
+        out.dispatch(job.req, node.srv, job.req.frontend.lateValue > 0 ? 0 : Math.max(cap, TICK_MS), within);
         return true;
     }
 
--- a/gateway/src/main/java/tinford/api/Req.java
+++ b/gateway/src/main/java/tinford/api/Req.java
@@ -19,4 +19,9 @@
         this.units = units;
         this.resent = resent;
     }
+
+    /** Whether its client has gone, as far as can be seen at this moment; {@link Inbox#left} then follows. */
+    public boolean gone() {
+        return false;
+    }
 }
--- a/gateway/src/main/java/tinford/api/Writer.java
+++ b/gateway/src/main/java/tinford/api/Writer.java
@@ -2,8 +2,13 @@
 
 /** Where decisions are written; each call is one message of the front. */
 public interface Writer {
-    /** Dispatches of a req are numbered 0, 1, 2 ... in the order of these calls; {@code cap} 0 is no own time-out. */
-    void dispatch(Req req, Srv srv, double cap);
+    /**
+     * Dispatches of a req are numbered 0, 1, 2 ... in the order of these calls.
+     *
+     * @param cap its own time-out, or 0
+     * @param within its last byte leaves by then, or it is withdrawn as void
+     */
+    void dispatch(Req req, Srv srv, double cap, double within);
 
     void cancel(Req req, int hop);
 
--- a/gateway/src/main/java/tinford/benchlink/Reply.java
+++ b/gateway/src/main/java/tinford/benchlink/Reply.java
@@ -64,7 +64,7 @@
     }
 
     @Override
-    public void dispatch(Req req, Srv srv, double cap) {
+    public void dispatch(Req req, Srv srv, double cap, double within) {
         instance.sent(req);
         line("PassOn", () -> {
             json.writeNumberField("RequestId", req.id);
--- a/gateway/src/main/java/tinford/routing/Backend.java
+++ b/gateway/src/main/java/tinford/routing/Backend.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import tinford.api.Srv;
 
 /** A server as the list shows it, with the connections to it. */
@@ -12,6 +14,8 @@
     double listedBorn;
     /** Connections with nothing in them, the last used first. */
     final ArrayDeque<ServerLink> idle = new ArrayDeque<>();
+    /** Connections that are not up yet, and carry a dispatch of which nothing has left. */
+    final Set<ServerLink> opening = new LinkedHashSet<>();
     /** All connections to it, those that are still opening, and those that it has not seen closed, included. */
     int links;
     /** Of these, those that have ended, though the server may not have seen it yet. */
--- a/gateway/src/main/java/tinford/routing/ClientLink.java
+++ b/gateway/src/main/java/tinford/routing/ClientLink.java
@@ -23,6 +23,7 @@
     private Slot last;
     private Ending closing; // once everything is answered
     private int awaited; // bytes of a command for which there is no room yet
+    private int passing; // bytes of a command that is denied, still to come
     private int room; // bytes that are kept for a long command
     private int waiting; // commands not answered
     private double halfSince; // a command has come in part, or 0
@@ -53,11 +54,23 @@
     @Override
     protected void opened() { }
 
+    /** Guards servers against work for nobody: an end is looked for before each dispatch, also behind what is not read yet. */
+    boolean gone() {
+        return ends();
+    }
+
     @Override
     protected void received() {
+        if (endSeen()) {
+            return; // nobody waits for what came right before the end
+        }
         Resp resp = clients.resp;
         try {
             while (!over() && closing != Ending.MALFORMED) {
+                pass();
+                if (passing > 0) {
+                    return;
+                }
                 int n = resp.parse(buf.bytes(), buf.from(), buf.to());
                 if (n == 0) {
                     halfSince = buf.unread() == 0 ? 0 : halfSince == 0 || room > 0 ? clients.desk.now : halfSince;
@@ -86,9 +99,24 @@
             return;
         }
         awaited = bytes;
-        if (!clients.grant(this)) {
+        if (clients.grant(this)) {
+            return;
+        }
+        if (first == null) {
             hold();
+            return;
         }
+        // guards the reqs before it: on a connection that is not read nobody sees that their client has gone
+        giveRoom();
+        passing = bytes;
+        say(add(new Slot()), "-BUSY");
+        pass();
+    }
+
+    private void pass() {
+        int n = Math.min(passing, buf.unread());
+        passing -= n;
+        buf.take(n);
     }
 
     int awaited() {
--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -189,9 +189,11 @@
         }
     }
 
+    /** Its client has gone: what waits for a connection, or has not left whole, goes nowhere any more. */
     void left(Exchange e) {
         over(e);
         desk.in.left(e);
+        e.dispatches.forEach(desk::withdraw);
     }
 
     /** False when it was over before. */
--- a/gateway/src/main/java/tinford/routing/Desk.java
+++ b/gateway/src/main/java/tinford/routing/Desk.java
@@ -102,9 +102,7 @@
 
     /** A long answer begins to flow to its client: that is the req's final answer, and no time counts any more. */
     void began(Dispatch d) {
-        if (d.cap != null) {
-            d.cap.cancel();
-        }
+        d.stop();
         clients.over(d.exchange);
         in.began(d.exchange, d.no);
     }
@@ -114,9 +112,7 @@
             return;
         }
         d.ended = true;
-        if (d.cap != null) {
-            d.cap.cancel();
-        }
+        d.stop();
         Exchange e = d.exchange;
         if (how == End.GOOD) {
             clients.over(e);
@@ -125,7 +121,7 @@
     }
 
     @Override
-    public void dispatch(Req req, Srv srv, double cap) {
+    public void dispatch(Req req, Srv srv, double cap, double within) {
         Exchange e = (Exchange) req;
         Dispatch d = new Dispatch(e, e.dispatches.size(), now);
         e.dispatches.add(d);
@@ -137,6 +133,16 @@
         }
         servers.carry(d, (Backend) srv, (long) Math.ceil(wait));
         d.cap = loop.after(wait, () -> stop(d, Ending.SILENT));
+        if (within < wait) {
+            d.leaving = loop.after(within, () -> withdraw(d));
+        }
+    }
+
+    /** Gives up what its server can't have whole yet: it stays void. */
+    void withdraw(Dispatch d) {
+        if (!d.ended && d.link != null && !d.link.left()) {
+            d.link.end(Ending.DROPPED);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/tinford/routing/Dispatch.java
+++ b/gateway/src/main/java/tinford/routing/Dispatch.java
@@ -9,6 +9,7 @@
     final double at;
     ServerLink link;
     Loop.Timer cap;
+    Loop.Timer leaving; // its last byte is to have left by then
     boolean ended;
 
     Dispatch(Exchange exchange, int no, double at) {
@@ -16,4 +17,14 @@
         this.no = no;
         this.at = at;
     }
+
+    /** Nothing is waited for any more. */
+    void stop() {
+        if (cap != null) {
+            cap.cancel();
+        }
+        if (leaving != null) {
+            leaving.cancel();
+        }
+    }
 }
--- a/gateway/src/main/java/tinford/routing/Exchange.java
+++ b/gateway/src/main/java/tinford/routing/Exchange.java
@@ -22,4 +22,9 @@
         this.ask = ask;
         slot.exchange = this;
     }
+
+    @Override
+    public boolean gone() {
+        return client.gone();
+    }
 }
--- a/gateway/src/main/java/tinford/routing/ServerLink.java
+++ b/gateway/src/main/java/tinford/routing/ServerLink.java
@@ -54,8 +54,9 @@
         }
     }
 
-    private boolean left() {
-        return put >= dispatch.exchange.ask.length() && allWritten();
+    /** Its command has left to the last byte. */
+    boolean left() {
+        return dispatch != null && put >= dispatch.exchange.ask.length() && allWritten();
     }
 
     @Override
@@ -68,7 +69,9 @@
     }
 
     @Override
-    protected void opened() { }
+    protected void opened() {
+        backend.opening.remove(this);
+    }
 
     @Override
     protected void received() {
@@ -271,7 +274,7 @@
         servers.gone(this, how);
         Dispatch d = dispatch;
         boolean cut = flows;
-        boolean left = d != null && left();
+        boolean left = left();
         settle();
         if (d != null) {
             d.exchange.slot.source = null;
--- a/gateway/src/main/java/tinford/routing/Servers.java
+++ b/gateway/src/main/java/tinford/routing/Servers.java
@@ -51,6 +51,7 @@
     /** A list in discovery's form, as the decisions take it. */
     public void list(Fields list) {
         List<Srv> entries = new ArrayList<>();
+        List<Backend> left = new ArrayList<>();
         List<Fields> hosts = list.parts("hosts");
         hosts.forEach(Servers::check);
         for (Fields e : hosts) {
@@ -66,7 +67,7 @@
             InetSocketAddress dial = Addresses.of(e, "dial");
             double born = e.real("born_ms", 0);
             if (!dial.equals(b.dial) || born != b.listedBorn) {
-                retire(b); // these lead to what was there before
+                left.add(b); // its connections lead to what was there before
             }
             b.dial = dial;
             b.listedBorn = born;
@@ -78,9 +79,10 @@
         }
         boolean whole = list.flag("whole");
         desk.in.listed(entries, whole);
+        left.forEach(this::leave);
         for (Backend b : new ArrayList<>(backends.values())) {
             if (b.state != Srv.State.UP || whole && !entries.contains(b)) {
-                retire(b);
+                leave(b);
             }
             if (b.state == Srv.State.REMOVED || whole && !entries.contains(b)) {
                 backends.remove(b.id);
@@ -106,7 +108,7 @@
         }
         b.state = state(b);
         b.born = bans.born(b.id, b.listedBorn);
-        retire(b);
+        leave(b);
         desk.in.listed(List.of(b), false);
     }
 
@@ -138,6 +140,7 @@
                 makeRoom();
             }
             link = new ServerLink(desk, this, b);
+            b.opening.add(link);
             link.carry(d, patience);
             if (b.links >= desk.view.mayHold(b) && !b.idle.isEmpty()) { // one that has not rested gives its place
                 ServerLink old = b.idle.peekLast();
@@ -199,6 +202,7 @@
     void gone(ServerLink link, Ending how) {
         link.backend.leaving += link.counts ? 1 : 0;
         link.backend.idle.remove(link);
+        link.backend.opening.remove(link);
         // guards against connections that look idle and lead to a machine that is gone: none can be opened to it
         if (how == Ending.REFUSED || how == Ending.NEVER_UP) {
             retire(link.backend);
@@ -226,6 +230,14 @@
         }
     }
 
+    /** Nothing new goes there: guards against a dispatch that waits for its connection and leaves when that comes up. */
+    private void leave(Backend b) {
+        retire(b);
+        for (ServerLink link : new ArrayList<>(b.opening)) {
+            link.end(Ending.DROPPED);
+        }
+    }
+
     void retire(Backend b) {
         while (!b.idle.isEmpty()) {
             b.idle.peekFirst().end(Ending.RETIRED);
--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -12,6 +12,9 @@
 /** One TCP connection, accepted or opened from here. Its owner extends it; all callbacks come within a turn. */
 public abstract class Link implements Loop.Due {
     private static final double LAST_BYTES = 1000; // how long the other side may take to end its sending too
+    private static final int MOST_LOOKED = 64; // reads in one go, for an end that lies behind what was sent before
+    private static final int MOST_AHEAD = 64 << 10; // bytes kept unread on that account
+    private static final double LOOK = 50; // for the end of one that is not listened to
     private static final double LAST_LINE = 50; // or, where it is not listened to any more, to read what was written
     private static final OptionMap PLAIN = OptionMap.create(Options.TCP_NODELAY, true);
     protected final Loop loop;
@@ -24,7 +27,7 @@
     private Ending failing;
     private Ending finishing;
     private int awaited = -1; // unwritten bytes at which its owner wants to hear of it
-    private boolean noted, opened, came, drained, dirty, holds, over, held, looks, shut, gone;
+    private boolean noted, opened, came, drained, dirty, holds, over, held, deaf, looks, shut, gone;
 
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
     protected Link(Loop loop, int mostUnread, int mostUnwritten) {
@@ -105,7 +108,7 @@
         holds = true;
     }
 
-    private void readable() {
+    private boolean readable() {
         try {
             int n = buf.read(connection.getSourceChannel().getConduit());
             if (n > 0) {
@@ -114,9 +117,11 @@
             } else if (n < 0) {
                 fail(Ending.ENDED);
             }
+            return n > 0;
         } catch (IOException e) {
             connection.getSourceChannel().suspendReads();
             fail(Ending.BROKEN);
+            return false;
         }
     }
 
@@ -128,6 +133,23 @@
         return !over && failing == null && !came && buf.unread() == 0;
     }
 
+    /** Whether the other side has ended its sending, or broken it, by now: also where that lies behind what it sent before. */
+    protected final boolean ends() {
+        boolean more = connection != null && !held;
+        for (int i = 0; i < MOST_LOOKED && more && !endSeen() && buf.unread() <= MOST_AHEAD && !loop.room.tight(); i++) {
+            more = readable();
+            if (deaf) {
+                passOver();
+            }
+        }
+        return endSeen();
+    }
+
+    /** Whether it has ended, or is about to: the other side's end has been read. */
+    protected final boolean endSeen() {
+        return over || failing != null;
+    }
+
     private void writable() {
         connection.getSinkChannel().suspendWrites();
         flush();
@@ -267,14 +289,27 @@
         }
     }
 
-    /** Reads no more: what is still sent waits in the sender's own machine. */
+    /** Follows it no more: what is still sent is passed over at leisure, until it ends. */
     protected final void deaf() {
-        if (connection != null && !over) {
+        if (connection != null && !over && !deaf) {
+            deaf = true;
             connection.getSourceChannel().suspendReads();
-            buf.take(buf.unread());
+            passOver();
+            listen();
+        }
+    }
+
+    private void listen() {
+        if (!ends()) {
+            loop.after(LOOK, this::listen);
         }
     }
 
+    private void passOver() {
+        buf.take(buf.unread());
+        came = false;
+    }
+
     /** Closes it, whatever state it is in; the first call counts. */
     public final void end(Ending how) {
         if (over) {
--- a/gateway/src/test/java/tinford/Bed.java
+++ b/gateway/src/test/java/tinford/Bed.java
@@ -47,6 +47,7 @@
     final Decide gateway;
     double now = 100_000;
     double cap;
+    double within;
     private long ids;
 
     Bed(Limits limits, boolean counter, boolean mustAsk) { this(limits, counter, mustAsk, 2); }
@@ -163,8 +164,9 @@
     static long count(List<String> said, String start) { return said.stream().filter(s -> s.startsWith(start)).count(); }
 
     @Override
-    public void dispatch(Req req, Srv srv, double cap) {
+    public void dispatch(Req req, Srv srv, double cap, double within) {
         this.cap = cap;
+        this.within = within;
         said.add("dispatch " + req.id + " " + srv.id);
     }
 
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -228,6 +228,64 @@
         assertTrue(again > 0);
     }
 
+    /** A repeat that waits for its connection is none any more once the window is over, whenever it was decided on. */
+    @Test
+    public void aRepeatLeavesWithinTheWindowOfTheFirst() {
+        Bed bed = new Bed();
+        bed.list("s1a", "s1b");
+        Customer c = Bed.customer(HARD);
+        for (int i = 0; i < 40; i++) { // they pay for those further ones
+            Req first = bed.req(c, READ, 0.1);
+            bed.ask(first, 0, 0.1 * i);
+            assertTrue(bed.within > 3000, "what may be sent at any time");
+            bed.ends(first, 0, End.GOOD, true);
+        }
+        for (double after : new double[] {0, 700, 1100}) {
+            Req req = bed.req(c, Bed.frontend(Effect.UNIQUED, Group.CELL), 0.1);
+            bed.ask(req, 0, 2);
+            assertTrue(bed.within > 3000, "the first");
+            bed.now += after;
+            assertEquals(Bed.count(bed.ends(req, 0, End.BROKEN, false), "dispatch"), 1);
+            assertEquals(bed.within, 3000 - 1 - after, 1e-6);
+            bed.ends(req, 1, End.GOOD, true);
+        }
+    }
+
+    /** It is seen to have gone before anybody has said so; what waits is told of that a moment later. */
+    @Test
+    public void nothingIsSentForAClientThatHasGone() {
+        for (boolean g : new boolean[] {true, false}) {
+            Bed bed = new Bed();
+            Req req = new Req(7, READ, Bed.customer(HARD), bed.now + 8000, 1, false) {
+                @Override
+                public boolean gone() {
+                    return g;
+                }
+            };
+            List<String> said = bed.ask(req, 0, 1);
+            assertEquals(Bed.count(said, "dispatch"), g ? 0 : 1);
+            said.addAll(bed.play(in -> in.left(req)));
+            assertEquals(said.stream().anyMatch(s -> s.startsWith("add ") && s.endsWith(" -1.0")), g, said.toString());
+        }
+    }
+
+    @DataProvider
+    Object[][] arrivals() {
+        return new Object[][] {{End.VOID, true}, {End.UNREACHABLE, true}, {End.FULL, false}, {End.BROKEN, false}};
+    }
+
+    /** A try takes its units once a server has it whole, and not before. */
+    @Test(dataProvider = "arrivals")
+    public void whatReachedNoServerGetsItsUnitsBack(End how, boolean back) {
+        Bed bed = new Bed();
+        Req req = bed.req(Bed.customer(HARD), READ, 1);
+        assertEquals(Bed.count(bed.ask(req, 0, 1), "dispatch"), 1);
+        List<String> said = new ArrayList<>(bed.play(in -> in.left(req)));
+        assertEquals(Bed.count(said, "add"), 0, "it is out still");
+        said.addAll(bed.ends(req, 0, how, true));
+        assertEquals(said.stream().filter(s -> s.startsWith("add ") && s.endsWith(" -1.0")).count(), back ? 1 : 0, said.toString());
+    }
+
     @DataProvider
     Object[][] states() {
         return new Object[][] {{Srv.State.DRAINING, true}, {Srv.State.REMOVED, true}, {Srv.State.UP, false}};
--- a/lab/src/main/java/tinford/lab/model/Node.java
+++ b/lab/src/main/java/tinford/lab/model/Node.java
@@ -158,7 +158,7 @@
     }
 
     @Override
-    public void dispatch(Req req, Srv srv, double cap) {
+    public void dispatch(Req req, Srv srv, double cap, double within) {
         Try t = (Try) req;
         double now = world.agenda.now();
         Machine m = world.machine(srv.id);
--- a/lab/src/test/java/tinford/lab/model/OracleTest.java
+++ b/lab/src/test/java/tinford/lab/model/OracleTest.java
@@ -52,7 +52,7 @@
             if (fault.equals("cold")) {
                 s = servers.stream().filter(x -> x.born > 0).findFirst().orElse(s);
             }
-            out.dispatch(req, s, 0);
+            out.dispatch(req, s, 0, Double.POSITIVE_INFINITY);
         }
 
         @Override
