--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -13,7 +13,7 @@
 public abstract class Link implements Loop.Due {
     private static final double LAST_BYTES = 1000; // how long the other side may take to end its sending too
     private static final int MOST_LOOKED = 64; // reads in one go, for an end that lies behind what was sent before
-    private static final int MOST_AHEAD = 64 << 10; // bytes kept unread on that account
+    private static final int MOST_AHEAD = 256 << 10; // bytes kept unread on that account
     private static final double LOOK = 50; // for the end of one that is not listened to
     private static final double LAST_LINE = 50; // or, where it is not listened to any more, to read what was written
     private static final OptionMap PLAIN = OptionMap.create(Options.TCP_NODELAY, true);
