Watch: two calls lost around the return of discovery are made up for within 6 s

What discovery has counts as told 6 s after it can be reached, however the calls before went. Cause: `MOST_UNHEARD` (Watch.java, 2600) and the longest chance wait (750) add up to 3.35 s from a call that nothing comes of to the next; a call that was out at the return, on a connection that stays open, and one more that is lost behind it made 6.7 s.

Now 2000: 2.75 s, twice 5.5 s. Calls at a silent discovery stay within the 10 in 20 s tested before; the waits behind a refusal are as they were.

--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -20,7 +20,9 @@
 public final class Watch {
     private static final double SILENT = 2600; // a line is due every 2 s: what is asked anew may well come within 6 s
     private static final double UNHEARD = 1300; // for the first line, before another is opened; then a quarter longer each time
-    private static final double MOST_UNHEARD = 2600;
+    // Guards against an outage whose last call is lost, and the first one behind it too: twice this and the longest chance wait
+    // is 5.5 s, and what discovery has counts as told 6 s after it can be reached, however the calls before went.
+    private static final double MOST_UNHEARD = 2000;
     private static final double AGAIN = 200; // and what discovery has to tell counts as told within seconds, heard or not
     private static final double MOST_AGAIN = 500;
     private static final int MOST_OUT = 4096;
