Watch: a third connection takes the descriptor of the first

Where just two descriptors were left, the third watch found none: `Watch.open` made the new one before it ended the oldest, so it ended with `NO_ROOM` and came a chance wait later, after the oldest was gone all the same. The oldest is ended first now.

--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -99,10 +99,10 @@
         opening = null;
         Wire oldest = before;
         before = wire;
-        wire = new Wire(false);
         if (oldest != null) {
-            oldest.end(Ending.RETIRED);
+            oldest.end(Ending.RETIRED); // first: the new one may need its descriptor
         }
+        wire = new Wire(false);
         listen(unheard);
         unheard = Math.min(MOST_UNHEARD, 1.25 * unheard);
     }
--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -114,6 +114,22 @@
         }
     }
 
+    /** Room for the two that there may be and for no other: the third has the place of the first, at the same time. */
+    @Test
+    public void aThirdHasThePlaceOfTheFirst() throws Exception {
+        List<List<Integer>> seen = new ArrayList<>();
+        for (int room : new int[] {20, 2}) {
+            clear();
+            prepare();
+            descriptors = room;
+            start(1);
+            play(8000, SILENT, SILENT, SILENT, GOOD);
+            seen.add(List.copyOf(opens));
+        }
+        assertEquals(seen.get(0).size(), 4);
+        assertEquals(seen.get(1), seen.get(0));
+    }
+
     /** Machine full: connections never come up, and are tried again by their time-out. */
     @Test
     public void aConnectionThatNeverComesUpIsTriedAgain() throws Exception {
