Watch: the next call is set before anybody hears that the watch is lost

`Watch.anew` stopped the silence timer, told of the loss and only then set the next call: had whoever hears of it thrown (it reads a file), nothing would have opened a watch again. The order is turned round. `aFaultInWhoeverHearsOfItIsNotTheWatchs` fails without it: never taken.

--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -115,10 +115,10 @@
 
     private void anew() {
         stop(silence);
-        lost.run();
         if (wanted && opening == null) {
             opening = desk.loop.after(again.next(), this::open); // not all gateways at once
         }
+        lost.run(); // last: whatever becomes of it, the next call is set
     }
 
     private void speaks(Wire one) {
--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -130,6 +130,17 @@
         assertEquals(seen.get(1), seen.get(0));
     }
 
+    /** Whoever wants to hear of a lost watch can't keep the next one from being opened. */
+    @Test
+    public void aFaultInWhoeverHearsOfItIsNotTheWatchs() throws Exception {
+        start(1);
+        watch.whenLost(() -> {
+            throw new IllegalStateException("a fault of its own");
+        });
+        play(4000, SILENT, GOOD);
+        assertTrue(takenAt >= 0 && takenAt <= ONE, "taken at " + takenAt);
+    }
+
     /** Machine full: connections never come up, and are tried again by their time-out. */
     @Test
     public void aConnectionThatNeverComesUpIsTriedAgain() throws Exception {
