Watch: the back-off is forgotten once a watch has lived for 2 s, not at its first line

A discovery that says a line and then ends the call, each time, turns callers away like one that answers 503, but `Watch.speaks` put the back-off back at the first line: 91 calls in 20 s instead of 48 at most. A timer does so now, 2 s after the first line, stopped when the watch ends or falls silent. Two rows more in `anOutageIsLookedAtRarelyAndItsEndSeen`; both fail without it (91 connections). A watch that falls silent in mid-life has lived for 2.6 s: nothing changes for it.

--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -25,6 +25,7 @@
     private static final double MOST_UNHEARD = 2000;
     private static final double AGAIN = 200; // and what discovery has to tell counts as told within seconds, heard or not
     private static final double MOST_AGAIN = 500;
+    private static final double STEADY = 2000; // guards against one that speaks and ends at once, each time: it turns callers away
     private static final int MOST_OUT = 4096;
     private final Desk desk;
     private InetSocketAddress at;
@@ -39,6 +40,7 @@
     private double unheard = UNHEARD;
     private Loop.Timer silence;
     private Loop.Timer opening;
+    private Loop.Timer steady;
     private Runnable lost = () -> { };
     private Runnable first = () -> { };
 
@@ -115,6 +117,8 @@
 
     private void anew() {
         stop(silence);
+        stop(steady);
+        steady = null;
         if (wanted && opening == null) {
             opening = desk.loop.after(again.next(), this::open); // not all gateways at once
         }
@@ -130,7 +134,9 @@
         }
         stop(opening);
         opening = null;
-        again.heard();
+        if (steady == null) {
+            steady = desk.loop.after(STEADY, again::heard);
+        }
         unheard = UNHEARD;
         listen(SILENT);
         first();
@@ -139,7 +145,8 @@
     private void drop() {
         stop(silence);
         stop(opening);
-        opening = null;
+        stop(steady);
+        opening = steady = null;
         again.heard();
         unheard = UNHEARD;
         Wire[] had = {wire, before};
--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -89,7 +89,9 @@
     @DataProvider
     public Object[][] outages() {
         return new Object[][] {{FAILING, 48, 800}, {SILENT, 10, 2800}, {new String[] {"0", HEAD}, 10, 2800},
-            {new String[] {"0", "reset"}, 48, 800}};
+            {new String[] {"0", "reset"}, 48, 800},
+            {new String[] {"0", HEAD + chunk("\n"), "0", "end"}, 48, 800},
+            {new String[] {"0", HEAD + chunk("\n\n{]\n")}, 48, 800}};
     }
 
     @Test(dataProvider = "outages")
