Watch: a call for the list once has its end after 2 s, and there is one at a time

`Watch.fetch` opened a connection that nothing but the other side could end: one that hung kept its descriptor for good, and each further call took one more. A call whose connection ended before any list counted as answered (`how != ENDED`).

Each ends after 2 s at the latest, in `Wire.ended`, the one place that frees the next and tells of a refusal, which it is where no list came. `aCallForTheListOnceHasItsEnd`: 8 of 8 fail without bound and time-out ("left open", a second call at once), 3 of 8 with the old test for a refusal.

--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -37,6 +37,7 @@
     private boolean wanted;
     private Wire wire; // the newest, or the one that speaks
     private Wire before; // silent, but it may only be slow
+    private Wire fetching; // beside them, for the whole list once
     private double unheard = UNHEARD;
     private Loop.Timer silence;
     private Loop.Timer opening;
@@ -92,9 +93,13 @@
         want(wanted);
     }
 
-    /** The whole list, once. */
+    /** The whole list, once; one call at a time, whose end is told for all that asked meanwhile. */
     void fetch() {
-        new Wire(true);
+        if (fetching == null) {
+            Wire asked = new Wire(true);
+            fetching = asked;
+            desk.loop.after(MOST_UNHEARD, () -> asked.end(Ending.SILENT));
+        }
     }
 
     private void open() {
@@ -183,6 +188,7 @@
         private final HttpLines lines = new HttpLines();
         private final JsonLines objects = new JsonLines(json);
         private final boolean once;
+        private boolean listed; // it has brought a list
         private Malformed bad;
 
         Wire(boolean once) {
@@ -220,6 +226,7 @@
                 }
                 if (!whole.isEmpty()) {
                     list(whole);
+                    listed = true;
                 }
                 if (!once) {
                     speaks(this);
@@ -232,7 +239,8 @@
         @Override
         protected void ended(Ending how) {
             if (once) {
-                if (how != Ending.ENDED) {
+                fetching = null;
+                if (!listed) {
                     desk.in.listRefused();
                 }
             } else if (before == this) {
--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -143,6 +143,36 @@
         assertTrue(takenAt >= 0 && takenAt <= ONE, "taken at " + takenAt);
     }
 
+    /** What a call for the list once comes to; how often it is told as refused. */
+    @DataProvider
+    public Object[][] fetches() {
+        return new Object[][] {{SILENT, 1}, {new String[] {"0", HEAD}, 1}, {trickle(HEAD, "{\"x\":3,"), 1}, {FAILING, 1},
+            {new String[] {"0", "end"}, 1}, {new String[] {"0", HEAD + chunk("\n") + "0\r\n\r\n"}, 1}, {GOOD, 0},
+            {new String[] {"0", HEAD + chunk(DROPS) + "0\r\n\r\n"}, 0}};
+    }
+
+    /** Each has its end within 2 s, whatever comes, told once; one at a time, and its descriptor is free for the next. */
+    @Test(dataProvider = "fetches")
+    public void aCallForTheListOnceHasItsEnd(String[] says, int refusals) throws Exception {
+        String[] lives = {"0", HEAD + chunk("\n"), "2000", chunk("\n"), "4000", chunk("\n"), "6000", chunk("\n")};
+        descriptors = 2;
+        start(1);
+        play(1000, new String[][] {lives});
+        for (int call = 1; call <= 2; call++) {
+            desk.loop.enter(() -> {
+                watch.fetch();
+                watch.fetch();
+            });
+            play(1000 + 2500 * call, new String[][] {says});
+            assertEquals(opens.size(), 1 + call);
+            assertEquals(asked.get(call), "GET /registry/instances HTTP/1.1");
+            assertTrue(!wires.get(call).channel.isOpen(), "left open");
+            assertEquals(refused, refusals * call);
+            assertEquals(takenAt >= 0, refusals == 0);
+        }
+        assertTrue(wires.get(0).channel.isOpen());
+    }
+
     /** Machine full: connections never come up, and are tried again by their time-out. */
     @Test
     public void aConnectionThatNeverComesUpIsTriedAgain() throws Exception {
