Tests: lists that are cut, doubled or spoilt in the middle, moves one behind the other

Held by the program as it is: nothing of a list with an entry that can't be read is taken over, and the next watch asks from the version held; a list cut by the end or a reset, one sent twice, fields that nobody knows; two moves in a row, at four distances, onwards and back to the first address, with a call out, a wait running or a watch that speaks: the last address is asked at once, and nothing else is left open.

--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -4,11 +4,15 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import tinford.api.Srv;
 
 /** What the watch hears, and when it opens another beside a silent one. */
 public class WatchTest extends WatchBed {
@@ -56,6 +60,10 @@
                 new String[][] {with(HEAD + chunk(DROPS), "300", chunk(list(41, true, "s0", "s1", "s2")))}},
             {"back under another id", 0, 50, 1, new String[][] {with(HEAD + chunk(back))}},
             {"gone, told of it alone", 0, 50, 1, new String[][] {with(HEAD + chunk(gone))}},
+            {"cut, twice", 0, 950, 3, new String[][] {{"0", half, "0", "end"}, {"0", half, "0", "reset"}, GOOD}},
+            {"twice in one chunk, and again", 0, 50, 1, new String[][] {with(HEAD + chunk(gone + gone), "300", chunk(gone))}},
+            {"with fields that nobody knows", 0, 50, 1, new String[][] {with(HEAD + chunk(DROPS.replace("\"site\"",
+                "\"x\":[{\"y\":null},[]],\"site\"").replace("\"whole\"", "\"z\":{\"u\":[1e9,\"\\u00e9\"]},\"whole\"")))}},
             {"an old one beats once while the next is out", 0, 4550, 3,
                 new String[][] {{"1600", HEAD + chunk("\n")}, after(300, GOOD), GOOD}},
         };
@@ -143,6 +151,37 @@
         assertTrue(takenAt >= 0 && takenAt <= ONE, "taken at " + takenAt);
     }
 
+    /** Entries that can't be read, behind one that can. */
+    @DataProvider
+    public Object[][] spoilt() {
+        String good = host("s5", "ready");
+        List<String> bad = List.of("{}", good.replace("\"s5\"", "5"), good.replace("ready", "asleep"), good.replace("127.0.0.1", "s5"),
+            good.replace(":9\"", "\""), good.replace("born_ms\":0", "born_ms\":\"x\""), good.replace("\"a\"", "7"),
+            good.replace("block\":0", "block\":0.5"), good.replace("share\":1.0", "share\":{}"));
+        List<Object[]> all = new ArrayList<>();
+        for (String entry : bad) {
+            all.add(new Object[] {list(43, true, host("s0", "draining"), entry, "s1")});
+        }
+        String list = list(43, true, host("s0", "draining"));
+        for (String text : List.of(list.replace("43", "\"43\""), list.replace("43", "4.3"), list.replace("hosts", "host"),
+            list.replace("]", ",7]"), list.replace("[", "{\"x\":[").replace("]", "]}"), "[" + list.strip() + "]\n", "null\n")) {
+            all.add(new Object[] {text});
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /** Nothing of such a list is taken, and the next watch asks from the version held, so that the change is not lost. */
+    @Test(dataProvider = "spoilt")
+    public void aListThatCantBeReadIsAskedForAgainWhole(String text) throws Exception {
+        start(1);
+        play(100, new String[] {"0", HEAD + chunk(text)}, GOOD);
+        assertEquals(held.keySet(), Set.of("s0", "s1"));
+        assertEquals(held.get("s0").state, Srv.State.UP);
+        play(1000, new String[][] {GOOD});
+        assertTrue(takenAt >= 0 && takenAt <= 350, "taken at " + takenAt);
+        assertTrue(asked.size() == 2 && asked.get(1).contains("&after=42 "), asked.toString());
+    }
+
     /** What a call for the list once comes to; how often it is told as refused. */
     @DataProvider
     public Object[][] fetches() {
@@ -221,4 +260,42 @@
             assertTrue(!w.channel.isOpen(), "left open");
         }
     }
+
+    /** What the watch meets before it is moved; how many ms lie between the two moves; whether the second one leads back. */
+    @DataProvider
+    public Object[][] movesTwice() {
+        List<Object[]> all = new ArrayList<>();
+        for (String[] before : new String[][] {GOOD, SILENT, FAILING, {"0", HEAD + chunk("\n")}}) {
+            for (int apart : new int[] {0, 200, 1450, 3000}) {
+                all.add(new Object[] {before, apart, true});
+                all.add(new Object[] {before, apart, false});
+            }
+        }
+        return all.toArray(Object[][]::new);
+    }
+
+    /** Moved while a call is out, a wait runs or one speaks; again with the call to the new address out; the last one counts. */
+    @Test(dataProvider = "movesTwice")
+    public void theLastOfTwoMovesCounts(String[] before, int apart, boolean back) throws Exception {
+        start(2);
+        play(5000, new String[][] {before});
+        takenAt = -1;
+        held.put("s0", new Backend("s0"));
+        ServerSocketChannel last = back ? door : door();
+        door = door();
+        InetSocketAddress between = at();
+        desk.loop.enter(() -> watch.move(between));
+        play(5000 + apart, new String[][] {SILENT});
+        door = last;
+        InetSocketAddress to = at();
+        desk.loop.enter(() -> watch.move(to));
+        opens.clear();
+        asked.clear();
+        play(5000 + apart + STEP, new String[][] {with(HEAD + chunk(list(44, true, "s1")))});
+        assertEquals(takenAt, 5000 + apart);
+        play(5000 + apart + 1000, new String[][] {SILENT});
+        assertEquals(opens, List.of(5000 + apart));
+        assertTrue(asked.get(0).contains(before == GOOD ? "&after=43 " : "&after=42 "), asked.toString());
+        assertEquals(wires.stream().filter(w -> w.channel.isOpen()).count(), 1);
+    }
 }
