Lists and settings nested over 64 levels deep are refused; they ended the I/O thread

A list with a field that nobody knows, nested 900 levels deep, is within what the JSON reader allows (1000), but `Fields.object` and `value` call each other for each level: on the I/O thread's stack of 256 KiB that was a StackOverflowError, which nothing in the turn catches. `Loop.called` stayed true, and the gateway played nothing any more. 900 and 990 objects overflowed, 600 did not.

Refused beyond 64 levels now, as JSON that can't be followed; the watch asks again from the version held. "a field nested deep" in `whatCountsAsToldIsHeard` fails without it: the loop hangs, "Task Loop failed with an exception, StackOverflowError".

--- a/gateway/src/main/java/tinford/handed/Fields.java
+++ b/gateway/src/main/java/tinford/handed/Fields.java
@@ -12,10 +12,15 @@
 
 /** An object of named values, read with checks; what is not as expected is named by place and field. */
 public class Fields {
+    private static final int DEEPEST = 64; // guards the stack of the I/O thread: each level takes two calls of it
     private final String where;
     private final String name;
     private final Map<String, Object> fields;
 
+    private static final class TooDeep extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     protected Fields(String where, String name, Map<String, Object> fields) {
         this.where = where;
         this.name = name;
@@ -33,6 +38,8 @@
                 throw new BadInput(where, "text", "nothing after the object");
             }
             return found;
+        } catch (TooDeep e) {
+            throw new BadInput(where, "text", "JSON of at most " + DEEPEST + " levels");
         } catch (IOException e) {
             throw new BadInput(where, "text", "JSON");
         }
@@ -49,6 +56,9 @@
     }
 
     private static Object value(JsonParser in) throws IOException {
+        if (in.getParsingContext().getNestingDepth() > DEEPEST) {
+            throw new TooDeep();
+        }
         switch (in.currentToken()) {
             case START_OBJECT:
                 return object(in);
--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -64,6 +64,8 @@
             {"twice in one chunk, and again", 0, 50, 1, new String[][] {with(HEAD + chunk(gone + gone), "300", chunk(gone))}},
             {"with fields that nobody knows", 0, 50, 1, new String[][] {with(HEAD + chunk(DROPS.replace("\"site\"",
                 "\"x\":[{\"y\":null},[]],\"site\"").replace("\"whole\"", "\"z\":{\"u\":[1e9,\"\\u00e9\"]},\"whole\"")))}},
+            {"a field nested deep", 0, 350, 2,
+                new String[][] {{"0", HEAD + chunk("{\"seq\":43,\"x\":" + "{\"a\":".repeat(950) + "1" + "}".repeat(951) + "\n")}, GOOD}},
             {"an old one beats once while the next is out", 0, 4550, 3,
                 new String[][] {{"1600", HEAD + chunk("\n")}, after(300, GOOD), GOOD}},
         };
