Lists of up to 1 MiB are read, 4 MiB before: reading that took more than the heap

A line of 3 MB ran out of memory in a trial with the 34 MB of heap that a gateway with a second process beside it has of 128 MB, one of 3.9 MB also with 38 MB: the line, its text twice, the object's text and its fields lie side by side (`HttpLines.line`, `JsonLines.take`, `Fields`). 1 MiB holds 8000 servers; the gateway keeps 4096 names in mind.

--- a/gateway/src/main/java/tinford/protocol/HttpLines.java
+++ b/gateway/src/main/java/tinford/protocol/HttpLines.java
@@ -8,7 +8,7 @@
 /** An HTTP/1.1 answer that is sent in chunks and holds lines of text; line ends and chunk ends need not meet. */
 public final class HttpLines {
     private static final int MOST_HEAD = 8 << 10;
-    private static final int MOST_LINE = 4 << 20;
+    private static final int MOST_LINE = 1 << 20; // some 8000 servers: reading four times as many took more than the heap
     private byte[] line = new byte[1024];
     private int length;
     private boolean headRead;
--- a/gateway/src/main/java/tinford/protocol/JsonLines.java
+++ b/gateway/src/main/java/tinford/protocol/JsonLines.java
@@ -7,9 +7,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
-/** JSON objects in lines of text, each in one line or over several. What it keeps of one is bounded at 4 MiB. */
+/** JSON objects in lines of text, each in one line or over several. What it keeps of one is bounded at 1 MiB. */
 public final class JsonLines {
-    private static final int MOST = 4 << 20;
+    private static final int MOST = 1 << 20;
     private final JsonParser in;
     private final ByteArrayFeeder feeder;
     private final StringBuilder text = new StringBuilder();
