Addresses: four numbers of up to 255, no look-up of a name; a long one is named by its start

`Addresses.of` took any digits and points for a numeric host and gave them to `InetAddress.getByName`, which asks the machine's resolver where they are no address (999.1.1.1, 1.2.3.4.5): a `dial` of that kind in a list blocked the I/O thread for as long as the look-up took (37 ms here, with a resolver that answers). And the complaint named the whole text: up to 1 MiB each, of which `Desk` keeps a hundred for a minute, on a heap of 34 MB.

Short forms (127.1), taken before, are refused now.

--- a/gateway/src/main/java/tinford/routing/Addresses.java
+++ b/gateway/src/main/java/tinford/routing/Addresses.java
@@ -3,17 +3,23 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.util.regex.Pattern;
 import tinford.handed.Fields;
 
 /** Addresses as they are written everywhere here: a numeric host and a port. */
 public final class Addresses {
+    // guards against the look-up of a name, which blocks: what only looks like four numbers is one to the machine
+    private static final Pattern NUMERIC = Pattern.compile("(25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}"
+            + "|\\[[0-9a-fA-F:.]+\\]");
+    private static final int SHOWN = 60; // of what is no address: the complaint is kept for a while
+
     private Addresses() {}
 
     public static InetSocketAddress of(Fields in, String field) {
         String text = in.text(field);
         InetSocketAddress found = of(text);
         if (found == null) {
-            throw in.bad(field, "a numeric host:port, not " + text);
+            throw in.bad(field, "a numeric host:port, not " + text.substring(0, Math.min(SHOWN, text.length())));
         }
         return found;
     }
@@ -21,7 +27,7 @@
     /** Null when the text is no such address. */
     public static InetSocketAddress of(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon < 1 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+        if (colon < 1 || !NUMERIC.matcher(text.substring(0, colon)).matches()) {
             return null;
         }
         try {
