What comes behind nonsense is not read at the process's end

Cause: ClientLink.close set closing whatever it was. At SIGTERM a connection that could not be followed any more (MALFORMED) and still owed the answer to a req before that became one that merely ends (RETIRED): behind that answer last() looked for what had come since, read on, and sent a req on whose client had been told that nothing more is read; it had no answer at all. Ruled out: Link.deaf, which suspends the reads, but not the look of quiet(). Change: the first cause of a close stays. Test: the end comes between the two answers; without the mend the second req arrives (heard 2 ids, 1 expected).

New ClosingTest: the gateway's own closes, turn by turn, on real connections and in driven time. It also holds what stood before: a req that crosses an idle close, a req behind the end of the sending (fails when what comes then is read instead of discarded), TCP_NODELAY on accepted connections and on those opened from here (fails with either option taken out, so XNIO does set both).

--- a/gateway/src/main/java/tinford/routing/ClientLink.java
+++ b/gateway/src/main/java/tinford/routing/ClientLink.java
@@ -283,7 +283,7 @@
 
     /** Between reqs: a client sends once more what crosses this. */
     void close(Ending how) {
-        closing = how;
+        closing = closing == null ? how : closing; // guards against reading on behind what can't be followed
         if (idle()) {
             last();
         }
--- /dev/null
+++ b/gateway/src/test/java/tinford/routing/ClosingTest.java
@@ -0,0 +1,285 @@
+package tinford.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import tinford.Bed;
+import tinford.api.Effect;
+import tinford.api.Frontend;
+import tinford.api.Gateway;
+import tinford.api.Group;
+import tinford.api.Plan;
+import tinford.api.Req;
+import tinford.api.Writer;
+import tinford.transport.Ending;
+import tinford.transport.Link;
+import tinford.transport.Loop;
+
+/** The gateway's own closes of client connections, turn by turn, on real connections and in driven time. */
+public class ClosingTest {
+    private static final int LONGEST = 8000; // of the client timeouts
+    private static final String ABORTED = "-ERR aborted\r\n";
+    private static final int PIECE = 64 << 10;
+    private final AtomicLong nanos = new AtomicLong();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final LinkedBlockingQueue<Exchange> arrived = new LinkedBlockingQueue<>();
+    private final List<Long> heard = new CopyOnWriteArrayList<>(); // ids
+    private final InetAddress here = InetAddress.getLoopbackAddress();
+    private boolean answers; // at once, or not at all
+    private boolean takesBack; // units of a req whose client has left
+    private Writer out;
+    private Desk desk;
+    private Clients clients;
+    private int port;
+
+    @BeforeMethod
+    public void prepare() throws Exception {
+        answers = true;
+        takesBack = false;
+        nanos.set(0);
+        arrived.clear();
+        heard.clear();
+        Gateway gateway = (now, feed, to) -> {
+            out = to;
+            feed.replay(new Bed.Deaf() {
+                @Override
+                public void arrived(Req req) {
+                    heard.add(req.id);
+                    arrived.add((Exchange) req);
+                    if (answers) {
+                        to.abort(req);
+                    }
+                }
+
+                @Override
+                public void left(Req req) {
+                    if (takesBack) {
+                        to.add(1, -1, 1000);
+                    }
+                }
+            });
+        };
+        desk = new Desk(gateway, 3, 20, 64 << 20, nanos::get);
+        clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, LONGEST, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false)),
+                Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
+        desk.seat(clients, null, null, null, null);
+        try (ServerSocket free = new ServerSocket(0, 1, here)) {
+            port = free.getLocalPort();
+        }
+        turn(() -> {
+            try {
+                clients.listen(new InetSocketAddress(here, port), false);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void clear() throws Exception {
+        for (AutoCloseable c : open) {
+            c.close();
+        }
+        open.clear();
+        desk.loop.close();
+    }
+
+    /** All of this in one turn; the next one is over as well when it returns. */
+    private void turn(Loop.Due what) throws Exception {
+        desk.loop.enter(what);
+        for (int i = 0; i < 2; i++) {
+            CountDownLatch over = new CountDownLatch(1);
+            desk.loop.enter(over::countDown);
+            assertTrue(over.await(20, TimeUnit.SECONDS), "the loop stands");
+        }
+    }
+
+    private void pass(int ms) throws Exception {
+        nanos.addAndGet(ms * 1_000_000L);
+        turn(() -> { });
+    }
+
+    private Socket client(int receives) throws IOException {
+        Socket s = new Socket();
+        open.add(s);
+        if (receives > 0) {
+            s.setReceiveBufferSize(receives);
+        }
+        s.setTcpNoDelay(true);
+        s.setSoTimeout(20_000);
+        s.connect(new InetSocketAddress(here, port));
+        return s;
+    }
+
+    private static void say(Socket s, String text) {
+        try {
+            s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String hear(Socket s, int n) throws IOException {
+        return new String(s.getInputStream().readNBytes(n), StandardCharsets.US_ASCII);
+    }
+
+    /** All up to the end; a reset is an end as well. */
+    private static String rest(Socket s) throws IOException {
+        StringBuilder all = new StringBuilder();
+        try {
+            for (int c = s.getInputStream().read(); c >= 0; c = s.getInputStream().read()) {
+                all.append((char) c);
+            }
+        } catch (SocketException e) {
+            // then this is all there is
+        }
+        return all.toString();
+    }
+
+    private static String ask(int n) {
+        return "*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000000000000007\r\n$16\r\n" + String.format("%016x", n) + "\r\n$13\r\nc=f,t=p,d=900\r\n";
+    }
+
+    private Exchange next() throws InterruptedException {
+        return arrived.poll(20, TimeUnit.SECONDS);
+    }
+
+    /** The end comes to a connection that must not be followed any further, and still owes the answer before that. */
+    @Test
+    public void whatComesBehindNonsenseIsNotReadAtTheEnd() throws Exception {
+        answers = false;
+        Socket c = client(0);
+        say(c, ask(1) + "+nonsense\r\n");
+        Exchange e = next();
+        say(c, ask(2));
+        turn(() -> { });
+        turn(() -> clients.end(() -> { }));
+        turn(() -> clients.abort(e));
+        pass(50);
+        assertEquals(heard, List.of(1L));
+        String said = rest(c);
+        assertTrue(said.startsWith(ABORTED + "-ERR ") && said.indexOf('\n', ABORTED.length()) == said.length() - 1, said);
+    }
+
+    /** Its client has seen the end: no req is read any more, whole or in part, and the connection goes soon. */
+    @Test
+    public void aReqBehindTheEndOfTheSendingIsNeverSentOn() throws Exception {
+        Socket c = client(0);
+        Socket other = client(0);
+        say(c, ask(1));
+        assertEquals(hear(c, ABORTED.length()), ABORTED);
+        ClientLink link = next().client;
+        say(other, ask(2).substring(0, 30));
+        say(c, ask(3).substring(0, 30));
+        turn(() -> { });
+        say(c, ask(3).substring(30));
+        assertEquals(hear(c, ABORTED.length()), ABORTED);
+        turn(clients::letGo);
+        assertEquals(c.getInputStream().read(), -1);
+        say(c, ask(4) + "x".repeat(200_000) + ask(5));
+        say(other, ask(2).substring(30));
+        assertEquals(hear(other, ABORTED.length()), ABORTED); // its half is owed an answer, and had it
+        turn(() -> { });
+        assertFalse(link.over());
+        pass(1000);
+        assertTrue(link.over());
+        assertEquals(heard, List.of(1L, 3L, 2L));
+    }
+
+    @DataProvider
+    public Object[][] rests() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /** A connection that has stood idle for too long, and a req at that moment: answered, or closed without a byte. */
+    @Test(dataProvider = "rests")
+    public void aReqThatCrossesAnIdleCloseIsAnsweredOrNeverRead(boolean before) throws Exception {
+        Socket c = client(0);
+        say(c, ask(1));
+        assertEquals(hear(c, ABORTED.length()), ABORTED);
+        ClientLink link = next().client;
+        turn(() -> {
+            if (before) {
+                say(c, ask(2));
+            }
+            link.look(desk.now + 15_000, 2000, 2300, 15_000);
+            if (!before) {
+                try {
+                    say(c, ask(2));
+                } catch (UncheckedIOException e) {
+                    // its client is told here
+                }
+            }
+        });
+        if (before) {
+            assertEquals(hear(c, ABORTED.length()), ABORTED);
+        } else {
+            assertEquals(rest(c), "");
+            assertEquals(heard, List.of(1L));
+        }
+    }
+
+    /** Small writes are not held back by the machine, where a close that is a reset would take them along. */
+    @Test
+    public void smallWritesLeaveAtOnce() throws Exception {
+        Socket c = client(0);
+        say(c, ask(1));
+        ClientLink accepted = next().client;
+        assertEquals(hear(c, ABORTED.length()), ABORTED);
+        assertTrue(unheld(accepted), "from clients");
+        ServerSocket door = new ServerSocket(0, 1, here);
+        open.add(door);
+        CountDownLatch up = new CountDownLatch(1);
+        final class Opened extends Link { // as those to servers, counter and discovery
+            Opened() {
+                super(desk.loop, 100, 100);
+                open(new InetSocketAddress(here, door.getLocalPort()), 60_000);
+            }
+
+            @Override
+            protected void opened() {
+                up.countDown();
+            }
+
+            @Override
+            protected void received() { }
+
+            @Override
+            protected void ended(Ending how) { }
+        }
+
+        Opened[] link = new Opened[1];
+        turn(() -> link[0] = new Opened());
+        assertTrue(up.await(20, TimeUnit.SECONDS));
+        assertTrue(unheld(link[0]), "opened from here");
+    }
+
+    private static boolean unheld(Link link) throws Exception {
+        var field = Link.class.getDeclaredField("connection");
+        field.setAccessible(true);
+        return ((StreamConnection) field.get(link)).getOption(Options.TCP_NODELAY);
+    }
+}
