An answer that is read late is whole before its connection ends

Cause: Link.finish gave the other side 1 s from the call on, also while the answer itself was not written yet (the machine holds some MB of it, the buffer the rest). At the process's end, with a client that stood still for a second, the gateway itself cut the answer off. And Link.play discarded what came while finishing was set, though the sending had not been ended: a client that could not know had its req thrown away. Ruled out: the kernel (all that it had taken did arrive), MOST_OUT. Change: the second counts from the end of the sending; until then the bound is 20 s, that of a client that does not read. What comes before the end of the sending is heard, as it is when it comes right before it. A dismissal keeps its 50 ms.

--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -12,6 +12,7 @@
 /** One TCP connection, accepted or opened from here. Its owner extends it; all callbacks come within a turn. */
 public abstract class Link implements Loop.Due {
     private static final double LAST_BYTES = 1000; // how long the other side may take to end its sending too
+    private static final double LAST_READ = 20_000; // or to read what was written before that
     private static final double LAST_LINE = 50; // or, where it is not listened to any more, to read what was written
     private static final OptionMap PLAIN = OptionMap.create(Options.TCP_NODELAY, true);
     protected final Loop loop;
@@ -24,7 +25,7 @@
     private Ending failing;
     private Ending finishing;
     private int awaited = -1; // unwritten bytes at which its owner wants to hear of it
-    private boolean noted, opened, came, drained, dirty, holds, over, held, looks, shut, gone;
+    private boolean noted, opened, came, drained, dirty, holds, over, held, looks, brief, shut, gone;
 
     /** @param mostUnread bytes that may wait to be read whole; a link whose buffer holds more is overfull */
     protected Link(Loop loop, int mostUnread, int mostUnwritten) {
@@ -167,12 +168,20 @@
 
     private void shut() throws IOException {
         if (looks && !quiet()) { // guards what has come since: it is heard first
-            finishing = null;
-            patience.cancel();
+            goOn();
             return;
         }
         shut = true;
         connection.getSinkChannel().shutdownWrites();
+        if (!brief) { // its time counts from now: until here the other side may have been busy reading
+            patience.cancel();
+            patience = loop.after(LAST_BYTES, () -> end(finishing));
+        }
+    }
+
+    private void goOn() {
+        finishing = null;
+        patience.cancel();
     }
 
     private void fail(Ending how) {
@@ -199,6 +208,9 @@
         }
         if (came && !over) {
             came = false;
+            if (finishing != null && looks && !shut) { // what was written is not all read yet, and more has come meanwhile
+                goOn();
+            }
             if (finishing != null) {
                 buf.take(buf.unread());
             } else {
@@ -245,7 +257,7 @@
     protected final void finish(Ending how) {
         if (!over && finishing == null) {
             finishing = how;
-            patience = loop.after(LAST_BYTES, () -> end(how));
+            patience = loop.after(LAST_READ, () -> end(how));
             send();
         }
     }
@@ -259,6 +271,7 @@
     /** Guards against what is sent without end: nothing more is read, and the connection ends soon after its last line. */
     protected final void dismiss(Ending how) {
         looks = false;
+        brief = true;
         deaf();
         finish(how);
         if (!over && patience != null) {
--- a/gateway/src/test/java/tinford/routing/ClosingTest.java
+++ b/gateway/src/test/java/tinford/routing/ClosingTest.java
@@ -163,6 +163,17 @@
         return "*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000000000000007\r\n$16\r\n" + String.format("%016x", n) + "\r\n$13\r\nc=f,t=p,d=900\r\n";
     }
 
+    /** What was written before this has been read, on whichever connection, and its turn is over. */
+    private void settle() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            Socket other = client(0);
+            say(other, "*1\r\n$4\r\nPING\r\n");
+            assertEquals(hear(other, 7), "+PONG\r\n");
+            other.close();
+        }
+        turn(() -> { });
+    }
+
     private Exchange next() throws InterruptedException {
         return arrived.poll(20, TimeUnit.SECONDS);
     }
@@ -184,6 +195,51 @@
         assertTrue(said.startsWith(ABORTED + "-ERR ") && said.indexOf('\n', ABORTED.length()) == said.length() - 1, said);
     }
 
+    /** The result is how many bytes of an answer were put, of which the last are not written when the leave begins. */
+    private int leaveWithAnAnswerUnread(Socket c) throws Exception {
+        answers = false;
+        say(c, ask(1));
+        Exchange e = next();
+        int[] put = new int[1];
+        do { // until the machine takes no more
+            turn(() -> {
+                clients.over(e);
+                e.client.piece(new byte[PIECE], 0, PIECE);
+                put[0] += PIECE;
+            });
+        } while (e.client.allWritten());
+        answers = true;
+        turn(() -> {
+            e.client.piece(new byte[8 * PIECE], 0, 8 * PIECE); // far more than it would still take
+            clients.leaving = true;
+            e.client.flown();
+        });
+        assertTrue(!e.client.allWritten() && !e.client.over());
+        return put[0] + 8 * PIECE + 2;
+    }
+
+    /** It reads nothing for a while, and then all: the answer is whole, and the end comes behind it. */
+    @Test
+    public void anAnswerThatIsReadLateIsWholeBeforeTheEnd() throws Exception {
+        Socket c = client(4096);
+        int put = leaveWithAnAnswerUnread(c);
+        pass(1500);
+        assertEquals(c.getInputStream().readNBytes(put).length, put);
+        assertEquals(c.getInputStream().read(), -1);
+    }
+
+    /** Its sending has not been ended yet, so that it can't know: what it writes meanwhile is answered behind the other. */
+    @Test
+    public void aReqBeforeTheEndOfTheSendingIsAnswered() throws Exception {
+        Socket c = client(4096);
+        int put = leaveWithAnAnswerUnread(c);
+        say(c, ask(2));
+        settle();
+        assertEquals(c.getInputStream().readNBytes(put).length, put);
+        assertEquals(rest(c), ABORTED);
+        assertEquals(heard, List.of(1L, 2L));
+    }
+
     /** Its client has seen the end: no req is read any more, whole or in part, and the connection goes soon. */
     @Test
     public void aReqBehindTheEndOfTheSendingIsNeverSentOn() throws Exception {
