The process goes only when its last connections are heard and what they cause has left

Cause: two crossings in Clients. close() ended the connections after the time to stay without waiting for Door.close, which takes those in the backlog first: where that time was over before (a turn that came late, the I/O thread held up), timers play before what came in, no connection was known, and the process went under a client that had just been let in. And gone() let the process go before ClientLink.ended told the decisions of the reqs that end with the connection: what that caused, such as the call that gives units back, was put for writing and not yet written while another thread ended the program. Change: the end waits for both, the door and the time; the last connection's end is told in the turn after it. Tests: a client is let in and writes while one turn holds the thread and closes with no time left: without the mend it is never answered. A counter is looked at in the moment at which the process may go: without the mend the call has not left.

--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -17,6 +17,7 @@
 import tinford.protocol.Resp;
 import tinford.transport.Door;
 import tinford.transport.Ending;
+import tinford.transport.Loop;
 
 /** The clients' side: their connections, and the reqs that are open. */
 public final class Clients {
@@ -214,7 +215,7 @@
     void gone(ClientLink link) {
         links.remove(link);
         if (closed != null && links.isEmpty()) {
-            closed.run();
+            desk.loop.due(closed::run); // what this end caused, such as units given back, leaves before that
         }
     }
 
@@ -248,8 +249,18 @@
 
     /** Nobody new is let in; those who have just come may stay so long, then each connection ends once all on it is answered. */
     public void close(double stay, Runnable then) {
-        door.close(() -> { });
-        desk.loop.after(stay, () -> end(then));
+        Loop.Due both = new Loop.Due() {
+            private int heard;
+
+            @Override
+            public void play() {
+                if (++heard == 2) { // guards those let in last, where the time was over before they were taken
+                    end(then);
+                }
+            }
+        };
+        door.close(both);
+        desk.loop.after(stay, both);
     }
 
     /** Each connection ends once all on it is answered. */
@@ -259,7 +270,7 @@
             l.close(Ending.RETIRED);
         }
         if (links.isEmpty()) {
-            then.run();
+            desk.loop.due(then::run);
         }
         desk.loop.after(longest + LAST_ANSWERS, then::run); // guards the end against clients that neither read nor close
     }
--- a/gateway/src/test/java/tinford/routing/ClosingTest.java
+++ b/gateway/src/test/java/tinford/routing/ClosingTest.java
@@ -298,6 +298,61 @@
         }
     }
 
+    /** The time to stay was over before the last who were let in could be taken: they are answered all the same. */
+    @Test
+    public void thoseLetInLastAreAnsweredBeforeTheEnd() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        Socket[] c = new Socket[1];
+        boolean[] early = new boolean[1];
+        turn(() -> {
+            try {
+                c[0] = client(0); // while this turn holds the thread
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            say(c[0], ask(1));
+            clients.close(0, () -> {
+                early[0] |= heard.isEmpty();
+                gone.countDown();
+            });
+        });
+        assertEquals(rest(c[0]), ABORTED);
+        c[0].close();
+        assertTrue(gone.await(20, TimeUnit.SECONDS));
+        assertFalse(early[0], "ended before they were heard");
+    }
+
+    /** What the last end causes has left before the process may go. */
+    @Test
+    public void unitsAreGivenBackBeforeTheEnd() throws Exception {
+        takesBack = true;
+        answers = false;
+        ServerSocket door = new ServerSocket(0, 1, here);
+        open.add(door);
+        Counter counter = new Counter(desk, new InetSocketAddress(here, door.getLocalPort()), 60_000, 60_000, 1);
+        desk.seat(clients, null, counter, null, null);
+        turn(() -> out.add(1, 1, 1000));
+        Socket at = door.accept();
+        open.add(at);
+        assertEquals(hear(at, 41).length(), 41);
+        say(at, "$1\r\n1\r\n");
+        Socket c = client(0);
+        say(c, ask(1));
+        next();
+        LinkedBlockingQueue<String> counted = new LinkedBlockingQueue<>();
+        turn(() -> clients.end(() -> {
+            try {
+                at.setSoTimeout(1000); // what has not left by now would not leave any more
+                counted.add(hear(at, 42));
+            } catch (IOException e) {
+                counted.add(e.toString());
+            }
+        }));
+        c.close();
+        String said = counted.poll(20, TimeUnit.SECONDS);
+        assertTrue(said != null && said.contains("\r\n-1\r\n"), said);
+    }
+
     /** Small writes are not held back by the machine, where a close that is a reset would take them along. */
     @Test
     public void smallWritesLeaveAtOnce() throws Exception {
