Nothing read is without an answer when the process goes, 3.7 s after SIGTERM at the latest

Cause: Clients.end let the process go after the longest client timeout and 0.68 s, whatever was open. Change: at that time, counted so, each open req has its final answer (denied where it was never sent on, else aborted; the decisions hear that nobody waits), half a command is told that nothing of it was heard, and what is still read is denied; 20 ms later the process goes, inside the 0.7 s. Nothing changes for reqs that have their answer by then. Test: reqs at a server that hangs, half a command, a req and half of one behind it, and a req in that very turn, in driven time. Without the answers, without the word to halves, without the denial, or without the 3 s: each time nothing comes.

--- a/gateway/src/main/java/tinford/routing/ClientLink.java
+++ b/gateway/src/main/java/tinford/routing/ClientLink.java
@@ -289,6 +289,18 @@
         }
     }
 
+    /** The process goes: each req has its answer, and a command that has come in part is told that nothing of it was heard. */
+    void cutShort() {
+        for (Slot s = first; s != null; s = s.next) {
+            if (s.exchange != null && !s.exchange.over) {
+                clients.cutShort(s.exchange);
+            }
+        }
+        if (!over() && closing != Ending.MALFORMED && halfSince > 0) {
+            turnAway();
+        }
+    }
+
     @Override
     protected void ended(Ending how) {
         clients.gone(this);
--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -25,7 +25,9 @@
     private static final double SILENCE = 2000; // from the first; an error or a close is owed within 3 s
     private static final double HALF = 2300; // with a command come in part: a client may take 2 s for one
     private static final double LOOK = 250;
-    private static final double LAST_ANSWERS = 30; // after the longest client timeout nobody waits for one any more
+    private static final double MOST_WAIT = 3000; // a client that waits longer counts as one that waits so long, at the end
+    private static final double LAST_ANSWERS = 20; // after the longest client timeout nobody waits for one any more
+    private static final double LAST_READ = 20; // and so long what was said then has to be read
     final Desk desk;
     final Resp resp = new Resp(true);
     private final Map<String, Frontend> frontends;
@@ -48,6 +50,7 @@
     boolean leaving;
     private int open;
     private long held;
+    private boolean cut; // the process goes
 
     /**
      * @param gateways that a customer's reqs may come through
@@ -171,7 +174,7 @@
         open++;
         held += e.ask.length();
         ids.add(e.id);
-        if (tooMany || open > mostOpen || held > mostHeld) {
+        if (cut || tooMany || open > mostOpen || held > mostHeld) {
             deny(e, 0);
         } else {
             desk.in.arrived(e);
@@ -272,6 +275,28 @@
         if (links.isEmpty()) {
             desk.loop.due(then::run);
         }
-        desk.loop.after(longest + LAST_ANSWERS, then::run); // guards the end against clients that neither read nor close
+        desk.loop.after(Math.min(longest, MOST_WAIT) + LAST_ANSWERS, () -> cutShort(then));
+    }
+
+    /**
+     * Guards the end against clients that neither read nor close, and against one from outside, which would find reqs without
+     * an answer: what is open is answered now, and what is still read after this is denied.
+     */
+    private void cutShort(Runnable then) {
+        cut = true;
+        for (ClientLink l : new ArrayList<>(links)) {
+            l.cutShort();
+        }
+        desk.loop.after(LAST_READ, then::run);
+    }
+
+    /** Its final answer comes from here, not from the decisions, which hear that nobody waits any more. */
+    void cutShort(Exchange e) {
+        if (e.dispatches.isEmpty()) {
+            deny(e, 0);
+        } else {
+            abort(e);
+        }
+        desk.in.left(e);
     }
 }
--- a/gateway/src/test/java/tinford/routing/ClosingTest.java
+++ b/gateway/src/test/java/tinford/routing/ClosingTest.java
@@ -353,6 +353,37 @@
         assertTrue(said != null && said.contains("\r\n-1\r\n"), said);
     }
 
+    /** All that is open when the process goes has its answer; what comes then is denied, half a command is told so. */
+    @Test
+    public void nothingReadIsWithoutAnAnswerWhenTheProcessGoes() throws Exception {
+        answers = false;
+        Socket hangs = client(0);
+        Socket half = client(0);
+        Socket both = client(0);
+        say(hangs, ask(1) + ask(2));
+        say(half, ask(3).substring(0, 40));
+        say(both, ask(4) + ask(5).substring(0, 40));
+        next();
+        next();
+        next();
+        settle();
+        CountDownLatch gone = new CountDownLatch(1);
+        turn(() -> clients.end(gone::countDown));
+        pass(3019);
+        assertEquals(half.getInputStream().available() + hangs.getInputStream().available(), 0);
+        turn(() -> {
+            say(hangs, ask(7));
+            nanos.addAndGet(1_000_000L);
+        });
+        assertEquals(rest(hangs), "-BUSY\r\n".repeat(3));
+        assertEquals(rest(half), "-BUSY\r\n");
+        assertEquals(hear(both, 14), "-BUSY\r\n-BUSY\r\n");
+        assertEquals(gone.getCount(), 1);
+        pass(20);
+        assertTrue(gone.await(20, TimeUnit.SECONDS));
+        assertEquals(heard.size(), 3, heard.toString());
+    }
+
     /** Small writes are not held back by the machine, where a close that is a reset would take them along. */
     @Test
     public void smallWritesLeaveAtOnce() throws Exception {
