Descriptors are kept apart by party: services, servers, clients, operators

Cause: Loop.takeDescriptor was one pool, over which Serve.run's bounds for clients (most/2) and servers (most/2 - 8) were sums worked out for the whole of it. Handover.setAside(half) took half of the handed limit away and left those bounds as they were: at 256 descriptors with a second process clients may hold 96 of a pool of 64, so idle ones took the last, and neither the watch, the counter's connections nor any to a server opened again; at 128 with operators the pool was 0 from the start. It was taken away twice from a process that was told to end while the one before it still lived. `limits.sockets` went through an int: was 0. Ruled out: descriptors that are never given back (held steady over crowds of 2,048 connections).

Change: transport.Descriptors is the one place. Each Link says with whom it is; a party takes from its own part, worked out from the pool as it is at the moment: 12 for discovery and the counter (two watches, a list fetched, eight of the counter's while it moves), half of the rest each for servers and clients. Set aside is what the other process has, said as often as one likes, and counts sockets, of which the two may hold no more than the limit together. Servers retire as many idle connections as are lacking. The operators' part is smaller under small limits; a limit under which a party would have none is an error.

--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -34,7 +34,7 @@
     private final Operators operators;
     private final Turn turn;
     private final InetSocketAddress at;
-    private final int half;
+    private final int aside;
     private double leftAt;
     private boolean begun; // at the start, whichever process has the turn
     private boolean taken; // the clients, at some time
@@ -43,22 +43,22 @@
     /**
      * @param operators their door, or null
      * @param turn shared with the gateway's other process, or null where there is none
-     * @param half of the descriptors, which is all that either of two processes may use
+     * @param aside descriptors that are not this process's while there are two
      */
-    Handover(Desk desk, Clients clients, Operators operators, Turn turn, InetSocketAddress at, int half) {
+    Handover(Desk desk, Clients clients, Operators operators, Turn turn, InetSocketAddress at, int aside) {
         this.desk = desk;
         this.clients = clients;
         this.operators = operators;
         this.turn = turn;
         this.at = at;
-        this.half = half;
+        this.aside = aside;
     }
 
     /** Opens the door if no other process has the turn. */
     synchronized boolean first() throws IOException {
         begun = true;
         if (turn != null && !turn.take()) {
-            desk.loop.setAside(half);
+            desk.loop.descriptors().setAside(aside);
             LOG.log(Level.INFO, "another process of this gateway takes the clients; ready to follow it");
             return false;
         }
@@ -67,7 +67,7 @@
         if (turn != null) {
             boolean alone = turn.alone();
             if (!alone) {
-                desk.loop.setAside(half);
+                desk.loop.descriptors().setAside(aside);
             }
             desk.loop.enter(() -> {
                 opened();
@@ -115,7 +115,7 @@
     private void alone() {
         try {
             if (turn.alone()) {
-                desk.loop.setAside(-half);
+                desk.loop.descriptors().setAside(ending ? aside : 0); // one that ends may have a successor by now
                 return;
             }
         } catch (IOException e) {
@@ -159,7 +159,7 @@
             if (turn.succeeded()) {
                 desk.leaves();
                 operators.leaving();
-                desk.loop.setAside(half);
+                desk.loop.descriptors().setAside(aside);
                 LOG.log(Level.INFO, "another process takes the clients");
                 clients.leave(CLIENTS_STAY - since(), left::countDown);
                 return;
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -31,6 +31,7 @@
 import tinford.routing.Record;
 import tinford.routing.Servers;
 import tinford.routing.Watch;
+import tinford.transport.Descriptors;
 import tinford.transport.Turn;
 
 /** The gateway as a program: what it is handed, start, new configurations, and its end. */
@@ -44,6 +45,16 @@
     /** Descriptors that are no connections: the jar, the selectors, the listening sockets, the logs. */
     private static final int OWN_DESCRIPTORS = 40;
 
+    /** Of these, the sockets; two processes of a gateway may hold no more sockets together than one descriptors. */
+    private static final int OWN_SOCKETS = 4;
+
+    /** With fewer for connections, one party or another would have none. */
+    private static final int LEAST_CONNECTIONS = 8;
+    private static final int MOST_SOCKETS = 1 << 20; // more are no use to one thread
+
+    /** Operators' connections at once, or a sixteenth of the descriptors. */
+    private static final int TO_OPERATORS = 24;
+
     /** Clients hold a third of the descriptors for reqs, as they count them; idle ones go before they get there. */
     private static final int IDLE_PART = 4;
 
@@ -82,16 +93,20 @@
         Fields set = given.part("settings");
         Limits limits = Handed.limits(set);
         Fields bounds = set.part("Limits");
-        int sockets = (int) given.part("limits").whole("sockets");
+        int sockets = (int) Math.max(0, Math.min(MOST_SOCKETS, given.part("limits").whole("sockets")));
         boolean managed = given.has("management");
-        int most = sockets - OWN_DESCRIPTORS - (managed ? Operators.MOST : 0);
+        int operated = managed ? Math.min(TO_OPERATORS, Math.max(4, sockets / 16)) : 0;
+        int most = sockets - OWN_DESCRIPTORS - operated;
+        if (most < LEAST_CONNECTIONS) {
+            throw given.part("limits").bad("sockets", OWN_DESCRIPTORS + operated + LEAST_CONNECTIONS + " or more");
+        }
         long bytes = Runtime.getRuntime().maxMemory() / 4; // for buffers, and as much for reqs: half is left
         Desk desk = new Desk(Handed.make(maker, seed(given), set), limits.maxDispatches, most, bytes);
         double connectWithin = bounds.millis("ConnectTimeoutUs");
-        Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most / 2 - 8, loadNames(set));
+        Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most, loadNames(set));
         Clients clients = new Clients(desk, Handed.frontends(set), Handed.plans(set), Handed.place(set).gateways,
                 Handed.counter(set).largest, bounds.millis("KeepaliveUs"), (int) bounds.whole("OpenCap", 20_000), bytes,
-                most / 2, sockets / IDLE_PART);
+                desk.loop.descriptors().most(Descriptors.Party.CLIENTS), sockets / IDLE_PART);
         Counter counter = Handed.counter(set).present
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout,
                 TO_COUNTER) : null;
@@ -102,8 +117,9 @@
                 Addresses.of(given, "peers_all")) : null;
         desk.seat(clients, servers, counter, watch, peers);
         Turn turn = managed ? turn(env.get("TMPDIR"), given.text("name")) : null;
-        Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn)) : null;
-        Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"), sockets / 2);
+        Operators operators = managed ? new Operators(desk, servers, turn == null ? null : record(turn), operated) : null;
+        Handover handover = new Handover(desk, clients, operators, turn, Addresses.of(given, "listen"),
+                Math.max(0, most - (sockets / 2 - OWN_SOCKETS - operated)));
         Thread leave = new Thread(() -> {
             if (companion != null) {
                 desk.loop.enter(companion::leaves);
--- a/gateway/src/main/java/tinford/routing/ClientLink.java
+++ b/gateway/src/main/java/tinford/routing/ClientLink.java
@@ -5,6 +5,7 @@
 import tinford.protocol.Ask;
 import tinford.protocol.Malformed;
 import tinford.protocol.Resp;
+import tinford.transport.Descriptors;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 
@@ -50,6 +51,11 @@
         return closing != null ? 0 : asked ? quiet >= silence ? 2 : 3 : quiet >= LATELY ? 1 : JUST_COME;
     }
 
+    @Override
+    protected Descriptors.Party party() {
+        return Descriptors.Party.CLIENTS;
+    }
+
     @Override
     protected void opened() { }
 
--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -15,6 +15,7 @@
 import tinford.protocol.Ask;
 import tinford.protocol.Malformed;
 import tinford.protocol.Resp;
+import tinford.transport.Descriptors;
 import tinford.transport.Door;
 import tinford.transport.Ending;
 
@@ -52,8 +53,9 @@
      * @param gateways that a customer's reqs may come through
      * @param mostUnits of one req
      * @param idleMost how long a connection may stand idle once it has brought a command
-     * @param mostOpen reqs at once, of {@code mostHeld} bytes together, and {@code mostLinks} connections
-     * @param ease connections from which on those between reqs go for new ones
+     * @param mostOpen reqs at once, of {@code mostHeld} bytes together, and {@code mostLinks} connections, or as many as there
+     * are descriptors for clients where these are fewer
+     * @param ease connections from which on those between reqs go for new ones, or from where few more fit
      */
     public Clients(Desk desk, Map<String, Frontend> frontends, Map<String, Plan> plans, int gateways, double mostUnits,
             double idleMost, int mostOpen, long mostHeld, int mostLinks,
@@ -74,13 +76,13 @@
     /** @param shared another process of this gateway may listen there at the same time */
     public void listen(InetSocketAddress at, boolean shared) throws IOException {
         look();
-        door = new Door(desk.loop, at, shared, mostLinks, true, () -> {
+        door = new Door(desk.loop, at, shared, mostLinks, () -> {
             // guards those to come: clients hold so many connections at most, also ones that they will not use again
-            if (links.size() >= ease) {
-                makeRoom(links.size() >= mostLinks - SPARE ? ClientLink.BUSY : ClientLink.JUST_COME);
+            if (links.size() >= Math.min(ease, full())) {
+                makeRoom(links.size() >= full() ? ClientLink.BUSY : ClientLink.JUST_COME);
             }
             // what is not taken is closed unread, so that its client goes elsewhere
-            if (links.size() >= mostLinks) {
+            if (links.size() >= most()) {
                 return null;
             }
             ClientLink link = new ClientLink(this);
@@ -90,6 +92,15 @@
         });
     }
 
+    private int most() {
+        return Math.min(mostLinks, desk.loop.descriptors().most(Descriptors.Party.CLIENTS));
+    }
+
+    /** As many as leave places for those that come while room is made for them. */
+    private int full() {
+        return most() - Math.min(SPARE, most() / 8 + 1);
+    }
+
     private void look() {
         for (ClientLink l : new ArrayList<>(links)) {
             l.look(desk.now, SILENCE, HALF, idleMost);
@@ -224,7 +235,7 @@
      */
     public void leave(double stay, Runnable then) {
         leaving = true;
-        while (links.size() > ease && shut()) { } // both processes together have the descriptors of one
+        while (links.size() > Math.min(ease, full()) && shut()) { } // both processes together have the descriptors of one
         close(stay, then);
     }
 
--- a/gateway/src/main/java/tinford/routing/Counter.java
+++ b/gateway/src/main/java/tinford/routing/Counter.java
@@ -9,6 +9,7 @@
 import tinford.protocol.Malformed;
 import tinford.protocol.Numbers;
 import tinford.protocol.Resp;
+import tinford.transport.Descriptors;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 import tinford.transport.Loop;
@@ -208,6 +209,11 @@
             open(at, connectWithin);
         }
 
+        @Override
+        protected Descriptors.Party party() {
+            return Descriptors.Party.SERVICES;
+        }
+
         void look() {
             double since = sent.isEmpty() ? desk.now : Math.max(sent.peek().at, heardAt);
             // guards the calls behind one whose answer never comes: the counter answers what was asked later elsewhere
--- a/gateway/src/main/java/tinford/routing/Operators.java
+++ b/gateway/src/main/java/tinford/routing/Operators.java
@@ -6,14 +6,13 @@
 import java.util.ArrayDeque;
 import tinford.protocol.HttpCall;
 import tinford.protocol.Malformed;
+import tinford.transport.Descriptors;
 import tinford.transport.Door;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 
 /** The operators' door: HTTP/1.1, one call to a connection. It has descriptors of its own, so that no crowd shuts it. */
 public final class Operators {
-    /** Connections kept for it. */
-    public static final int MOST = 24;
     private static final int SPARE = 4; // the oldest call that does not end gives way in time
     private static final double PATIENCE = 10_000;
     private static final int MOST_HEAD = 16 << 10;
@@ -21,14 +20,19 @@
     private final Desk desk;
     private final Servers servers;
     private final Record record;
+    private final int most;
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
     private boolean ready = true;
 
-    /** @param record that the gateway's other process reads as well, or null */
-    public Operators(Desk desk, Servers servers, Record record) {
+    /**
+     * @param record that the gateway's other process reads as well, or null
+     * @param most connections at once, four at least
+     */
+    public Operators(Desk desk, Servers servers, Record record, int most) {
         this.desk = desk;
         this.servers = servers;
         this.record = record;
+        this.most = most;
     }
 
     /** Within a turn, before the first list. */
@@ -38,8 +42,8 @@
     }
 
     public void listen(InetSocketAddress at) throws IOException {
-        new Door(desk.loop, at, false, MOST, false, () -> {
-            if (calls.size() >= MOST - SPARE) {
+        new Door(desk.loop, at, false, most, () -> {
+            if (calls.size() >= most - Math.min(SPARE, most / 4)) {
                 calls.peek().end(Ending.RETIRED);
             }
             return new Call();
@@ -106,6 +110,11 @@
             desk.loop.after(PATIENCE, () -> end(Ending.SILENT));
         }
 
+        @Override
+        protected Descriptors.Party party() {
+            return Descriptors.Party.OPERATORS;
+        }
+
         @Override
         protected void opened() { }
 
--- a/gateway/src/main/java/tinford/routing/ServerLink.java
+++ b/gateway/src/main/java/tinford/routing/ServerLink.java
@@ -5,6 +5,7 @@
 import tinford.protocol.Malformed;
 import tinford.protocol.Resp;
 import tinford.protocol.Usage;
+import tinford.transport.Descriptors;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 import tinford.transport.Loop;
@@ -67,6 +68,11 @@
         }
     }
 
+    @Override
+    protected Descriptors.Party party() {
+        return Descriptors.Party.SERVERS;
+    }
+
     @Override
     protected void opened() { }
 
--- a/gateway/src/main/java/tinford/routing/Servers.java
+++ b/gateway/src/main/java/tinford/routing/Servers.java
@@ -11,6 +11,7 @@
 import tinford.handed.Fields;
 import tinford.protocol.Resp;
 import tinford.protocol.Usage;
+import tinford.transport.Descriptors;
 import tinford.transport.Ending;
 
 /** The servers of the list, and the connections to them. */
@@ -134,7 +135,7 @@
     void carry(Dispatch d, Backend b, long patience) {
         ServerLink link = rested(b);
         if (link == null) {
-            if (links >= most) {
+            for (int n = desk.loop.descriptors().lacking(Descriptors.Party.SERVERS); n > 0; n--) {
                 makeRoom();
             }
             link = new ServerLink(desk, this, b);
--- a/gateway/src/main/java/tinford/routing/Watch.java
+++ b/gateway/src/main/java/tinford/routing/Watch.java
@@ -9,6 +9,7 @@
 import tinford.protocol.HttpLines;
 import tinford.protocol.JsonLines;
 import tinford.protocol.Malformed;
+import tinford.transport.Descriptors;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 import tinford.transport.Loop;
@@ -184,6 +185,11 @@
             open(at, connectWithin);
         }
 
+        @Override
+        protected Descriptors.Party party() {
+            return Descriptors.Party.SERVICES;
+        }
+
         @Override
         protected void opened() { }
 
--- a/gateway/src/main/java/tinford/transport/Door.java
+++ b/gateway/src/main/java/tinford/transport/Door.java
@@ -17,10 +17,8 @@
     /**
      * @param shared another process may listen at the same address
      * @param most connections that may be open through it at once; more wait in the backlog until one has ended
-     * @param pooled its connections count against those of all parties; else {@code most} are kept for it alone
      */
-    public Door(Loop loop, InetSocketAddress at, boolean shared, int most, boolean pooled,
-            Supplier<? extends Link> links) throws IOException {
+    public Door(Loop loop, InetSocketAddress at, boolean shared, int most, Supplier<? extends Link> links) throws IOException {
         this.loop = loop;
         port = SharedPort.open(loop.worker, at, shared, OptionMap.builder().set(Options.TCP_NODELAY, true)
                 .set(Options.BACKLOG, 512).set(Options.CONNECTION_HIGH_WATER, most)
@@ -28,7 +26,7 @@
                     try {
                         for (StreamConnection c = ch.accept(); c != null; c = ch.accept()) {
                             StreamConnection taken = c;
-                            loop.due(() -> take(loop, taken, pooled, links));
+                            loop.due(() -> take(loop, taken, links));
                         }
                     } catch (IOException e) {
                         // closed meanwhile: nothing more comes in
@@ -37,12 +35,10 @@
         port.resumeAccepts();
     }
 
-    private static void take(Loop loop, StreamConnection c, boolean pooled, Supplier<? extends Link> links) {
+    private static void take(Loop loop, StreamConnection c, Supplier<? extends Link> links) {
         Link link = links.get();
-        if (link != null && (!pooled || loop.takeDescriptor())) {
-            if (pooled) {
-                link.holdsDescriptor();
-            }
+        if (link != null && loop.descriptors.take(link.party())) {
+            link.holdsDescriptor();
             link.adopt(c);
         } else {
             IoUtils.safeClose(c);
--- a/gateway/src/main/java/tinford/transport/Link.java
+++ b/gateway/src/main/java/tinford/transport/Link.java
@@ -34,6 +34,9 @@
         this.mostUnwritten = mostUnwritten;
     }
 
+    /** Whose descriptors it counts among. */
+    protected abstract Descriptors.Party party();
+
     /** The connection that was opened from here is up. */
     protected abstract void opened();
 
@@ -69,7 +72,7 @@
 
     /** @param within 0 where there is no room for it: then none is opened */
     protected final void open(InetSocketAddress to, double within) {
-        holds = within > 0 && loop.takeDescriptor();
+        holds = within > 0 && loop.descriptors.take(party());
         if (!holds) {
             fail(Ending.NO_ROOM);
             return;
@@ -304,7 +307,7 @@
 
     private void giveDescriptor() {
         if (holds) {
-            loop.giveDescriptor();
+            loop.descriptors.give(party());
         }
     }
 
--- a/gateway/src/main/java/tinford/transport/Loop.java
+++ b/gateway/src/main/java/tinford/transport/Loop.java
@@ -35,6 +35,7 @@
     final XnioIoThread thread;
     /** For the buffers of all connections. */
     final Room room;
+    final Descriptors descriptors;
     private final Turn turn;
     private final LongSupplier nanos;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
@@ -45,7 +46,6 @@
     private long armedFor = Long.MAX_VALUE;
     private boolean called;
     private boolean closed;
-    private int descriptors;
 
     /** A call at a time to come. */
     public static final class Timer implements Comparable<Timer> {
@@ -68,7 +68,7 @@
     }
 
     /**
-     * @param descriptors how many connections there may be, over all parties
+     * @param descriptors how many connections there may be, over all parties but operators
      * @param bytes what all their buffers may take
      * @param nanos the time that timers go by; where it is driven, whoever drives it wakes the loop with {@link #enter}
      */
@@ -76,7 +76,7 @@
         this.turn = turn;
         this.nanos = nanos;
         this.room = new Room(bytes);
-        this.descriptors = descriptors;
+        this.descriptors = new Descriptors(descriptors);
         worker = Xnio.getInstance("nio").createWorker(OptionMap.builder().set(Options.WORKER_NAME, "gateway")
                 .set(Options.WORKER_IO_THREADS, 1).set(Options.WORKER_TASK_CORE_THREADS, 0)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1).set(Options.STACK_SIZE, 256L << 10).getMap());
@@ -134,17 +134,8 @@
         return room;
     }
 
-    /** So many connections fewer from now on, or more when below 0; those that are open stay. */
-    public void setAside(int connections) {
-        descriptors -= connections;
-    }
-
-    boolean takeDescriptor() {
-        return descriptors > 0 && descriptors-- > 0;
-    }
-
-    void giveDescriptor() {
-        descriptors++;
+    public Descriptors descriptors() {
+        return descriptors;
     }
 
     void unflushed(Link link) {
--- /dev/null
+++ b/gateway/src/test/java/tinford/transport/DescriptorsTest.java
@@ -0,0 +1,41 @@
+package tinford.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import tinford.transport.Descriptors.Party;
+
+/** Each party's part of the descriptors, also while another process has some. */
+public class DescriptorsTest {
+    @DataProvider
+    public Object[][] pools() {
+        return new Object[][] {{8, 0}, {20, 0}, {20, 4}, {24, 24}, {24, 99}, {88, 56}, {960, 480}, {(1 << 20) - 40, 0}};
+    }
+
+    @Test(dataProvider = "pools")
+    public void nobodyTakesWhatAnotherNeeds(int all, int aside) {
+        Descriptors pool = new Descriptors(all);
+        for (int i = 0; i < 2; i++) {
+            pool.setAside(aside); // said twice it is taken away once
+        }
+        int clients = take(pool, Party.CLIENTS);
+        int servers = take(pool, Party.SERVERS);
+        int services = take(pool, Party.SERVICES);
+        assertEquals(clients + servers + services, Math.max(0, all - aside));
+        assertTrue(clients >= servers && servers >= clients - 1, clients + " and " + servers);
+        assertTrue(services == Math.min(12, Math.max(0, all - aside) / 2), services + " for services");
+        pool.setAside(0);
+        int more = take(pool, Party.CLIENTS);
+        assertEquals(clients + more, pool.most(Party.CLIENTS));
+        pool.setAside(aside);
+        assertEquals(pool.lacking(Party.CLIENTS), more + 1); // those that are open stay
+    }
+
+    private static int take(Descriptors pool, Party with) {
+        int n = 0;
+        for (; pool.take(with); n++) { }
+        return n;
+    }
+}
