A full door opens again behind one end; clients that rest go for those in the backlog

Cause, 1: Door set XNIO's low water to most - 1. NioTcpServerHandle.freeConnection compares it with the count before it takes one off, so a door that had stopped at its high water stayed shut until two connections had ended: with room made one for one, until one went by its time. Cause, 2: Clients made room only when a connection came in, and none comes in at the high water: with all places taken by clients at work, those who rested later kept them until their idle time (15 s). Cause, 3: at 64 descriptors room was to be made from 16 connections on, and 12 were let in. Ruled out: the pool (the door stopped with descriptors left).

Change: the low water is the high water; each look at the clients (250 ms) makes those that rest go while fewer places are left than are spare; room is made before the door is full, whatever the limits.

Tests, program.DescriptorsTest, a real process under the machine's own limit of descriptors. With cause 1 left in, both rows at 64 and the test of the door fail; with cause 2 left in, the latter.

--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -105,6 +105,8 @@
         for (ClientLink l : new ArrayList<>(links)) {
             l.look(desk.now, SILENCE, HALF, idleMost);
         }
+        // guards those in the backlog, whom nobody sees: all were at work when they came, and some rest now
+        while (links.size() > full() && shut()) { }
         desk.loop.after(LOOK, this::look);
     }
 
--- a/gateway/src/main/java/tinford/transport/Door.java
+++ b/gateway/src/main/java/tinford/transport/Door.java
@@ -20,9 +20,10 @@
      */
     public Door(Loop loop, InetSocketAddress at, boolean shared, int most, Supplier<? extends Link> links) throws IOException {
         this.loop = loop;
+        // the low water is compared with the count before an end: one lower, and a full door would stay shut behind a single one
         port = SharedPort.open(loop.worker, at, shared, OptionMap.builder().set(Options.TCP_NODELAY, true)
                 .set(Options.BACKLOG, 512).set(Options.CONNECTION_HIGH_WATER, most)
-                .set(Options.CONNECTION_LOW_WATER, most - 1).getMap(), ch -> {
+                .set(Options.CONNECTION_LOW_WATER, most).getMap(), ch -> {
                     try {
                         for (StreamConnection c = ch.accept(); c != null; c = ch.accept()) {
                             StreamConnection taken = c;
--- a/gateway/src/test/java/tinford/program/Surroundings.java
+++ b/gateway/src/test/java/tinford/program/Surroundings.java
@@ -158,9 +158,14 @@
                 + plan("free", 0) + "," + plan("paid", 1) + "],\"TickUs\":4000}}";
     }
 
-    Process start(Map<String, String> env) throws IOException {
-        ProcessBuilder b = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-cp",
+    /** The program with its arguments, as the machine is to start it. */
+    List<String> program() {
+        return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-cp",
                 System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")), "tinford.Main", "serve");
+    }
+
+    Process start(Map<String, String> env) throws IOException {
+        ProcessBuilder b = new ProcessBuilder(program());
         b.environment().putAll(env);
         return b.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
