--- a/gateway/src/test/java/tinford/routing/ClosingTest.java
+++ b/gateway/src/test/java/tinford/routing/ClosingTest.java
@@ -34,6 +34,7 @@
 import tinford.api.Plan;
 import tinford.api.Req;
 import tinford.api.Writer;
+import tinford.transport.Descriptors;
 import tinford.transport.Ending;
 import tinford.transport.Link;
 import tinford.transport.Loop;
@@ -401,6 +402,11 @@
                 open(new InetSocketAddress(here, door.getLocalPort()), 60_000);
             }
 
+            @Override
+            protected Descriptors.Party party() {
+                return Descriptors.Party.SERVERS;
+            }
+
             @Override
             protected void opened() {
                 up.countDown();
--- a/gateway/src/test/java/tinford/routing/WatchOutageTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchOutageTest.java
@@ -176,6 +176,6 @@
     }
 
     private void setAside(int connections) {
-        desk.loop.enter(() -> desk.loop.setAside(connections));
+        desk.loop.enter(() -> desk.loop.descriptors().setAside(connections));
     }
 }
