Decide: cold servers earn by what warm ones answer, and are tried in any order

Cause, three in one place: (1) Fleet.sent() let each cold server earn with every dispatch to a warm one, whatever became of it. (2) Fleet.cold stood in the order of the list at every process: where slots held reqs back, stocks filled up everywhere and all processes began with the same server. (3) Where none is warm, arrived() let reqs earn that their quota denies.

Change: the good answer of a warm server earns, in learn(); the cold ones are mixed at each renewal of the ranking; where none is warm, a req earns once it is within its quota, in admit().

--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -93,7 +93,6 @@
         Job job = new Job(req);
         req.notes = job;
         meanWorth += 0.02 * (job.worth - meanWorth); // about the last fifty reqs
-        if (fleet.cold.size() == fleet.ranked.size()) fleet.warmed(); // none is warm: each req counts for one
         // a client about to give up must not be left to wait for the counter
         if (now >= job.reachBy) finish(job, 0); else quotas.ask(job);
     }
@@ -203,6 +202,7 @@
             job.book.tally.asked.add(now, job.worth * job.req.units);
             view.asked(job.req, job.base());
             job.inside = true;
+            if (fleet.cold.size() == fleet.ranked.size()) fleet.warmed(); // none is warm: each req counts
             // what the whole fleet sheds now is shed wherever it enters, at once; so is what may go nowhere
             double part = view.goes(job.req) ? view.part(job.base()) : 0;
             if (part < 1 && chance.nextDouble() >= part) { finish(job, 0); return; }
@@ -398,11 +398,12 @@
             Node n = hop.node;
             n.running.add(hop);
             most = Math.max(most, ++out);
-            if (n.cold()) n.tokens -= hop.job.req.units / meanUnits; else warmed();
+            if (n.cold()) n.tokens -= hop.job.req.units / meanUnits;
         }
 
-        // guards cold servers: each earns its part of a dispatch with each one to a warm server, from a stock
-        // anywhere under one, so that many gateways, also restarted ones, do not send together
+        // guards cold servers: each earns its part of a dispatch with each good answer of a warm server, for
+        // what one is sent beyond what it can do tells nothing, from a stock anywhere under one, so that many
+        // gateways, also restarted ones, do not send together
         private void warmed() {
             int warm = ranked.size() > cold.size() ? ranked.size() - cold.size() : Math.max(1, ranked.size());
             for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
@@ -417,6 +418,7 @@
             double part = took / hop.job.req.frontend.target;
             switch (how) {
                 case GOOD -> {
+                    if (!n.cold()) warmed();
                     weigh(units, part);
                     answer(n, part / size(units), part > 1 && !hop.late);
                 }
@@ -460,6 +462,7 @@
                 parts += n.strain.total(now);
                 seen += n.answers.total(now);
             }
+            Collections.shuffle(cold, chance); // guards the first of the list against all gateways at once
             pooled = parts / seen;
             meanSize = ranked.stream().mapToDouble(n -> n.srv.size).average().orElse(1);
             ranked.forEach(this::measure);
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -275,6 +275,78 @@
         assertTrue(part > 0.26 && part < 0.6, "" + part);
     }
 
+    @DataProvider
+    Object[][] warmEnds() {
+        return new Object[][] {{End.GOOD, true}, {End.FULL, false}, {End.TIMED_OUT, false}, {End.BROKEN, false}};
+    }
+
+    /** What warm servers are sent beyond what they do tells nothing of what a cold one can do. */
+    @Test(dataProvider = "warmEnds")
+    public void aColdServerEarnsByAnswersOfWarmOnes(End how, boolean earns) {
+        Bed bed = new Bed();
+        bed.srv("cold").born = bed.now;
+        bed.list("s1", "s2", "s3", "cold");
+        Customer c = Bed.customer(new Plan("p", 1, 1000, 0, 1, 1, 0, 0, 0, 0));
+        long sent = 0, toCold = 0;
+        for (int i = 0; i < 40; i++) {
+            Req req = bed.req(c, READ, 0.1);
+            List<String> said = new ArrayList<>(bed.ask(req, 0, 0.1));
+            for (int no = 0; Bed.count(said, "dispatch") > 0; no++) {
+                boolean cold = said.stream().anyMatch(s -> s.startsWith("dispatch") && s.endsWith(" cold"));
+                if (cold) toCold++; else sent++;
+                said = new ArrayList<>(bed.ends(req, no, cold ? End.VOID : how, how == End.GOOD));
+            }
+            bed.play(in -> in.left(req));
+            bed.pass(200);
+        }
+        assertTrue(sent >= 10, "" + sent);
+        assertTrue(earns ? toCold > 1 : toCold == 0, toCold + " beside " + sent);
+    }
+
+    @Test
+    public void whereNoneIsWarmWhatItsQuotaDeniesEarnsNothing() {
+        Bed bed = new Bed();
+        String[] ids = {"c1", "c2", "c3", "c4", "c5"};
+        for (String id : ids) bed.srv(id).born = bed.now;
+        bed.list(ids);
+        Customer over = Bed.customer(HARD), within = new Customer(6, HARD, 2, 0);
+        for (int i = 0; i < 60; i++) assertEquals(Bed.count(bed.ask(bed.req(over, READ, 1), 0, 1e6), "deny"), 1);
+        long sent = 0;
+        for (int i = 1; i <= 5; i++) sent += Bed.count(bed.ask(bed.req(within, READ, 1), 0, i), "dispatch");
+        assertTrue(sent < 3, sent + " of 5 at once");
+    }
+
+    /** Else all gateways that have earned one send it to the same server. */
+    @Test
+    public void coldServersAreTriedInAnyOrder() {
+        Bed bed = new Bed();
+        List<Srv> cold = List.of(bed.srv("c1"), bed.srv("c2"), bed.srv("c3"), bed.srv("c4"));
+        Customer c = Bed.customer(new Plan("p", 1, 1000, 0, 1, 1, 0, 0, 0, 0));
+        Map<String, Integer> firsts = new HashMap<>();
+        for (int round = 0; round < 12; round++) {
+            List<Req> out = new ArrayList<>();
+            for (Srv s : cold) s.state = Srv.State.DRAINING;
+            bed.play(in -> in.listed(cold, false));
+            for (int i = 0; i < 6; i++) {
+                out.add(bed.req(c, READ, 1));
+                assertEquals(Bed.count(bed.ask(out.get(i), 0, 1), "dispatch"), 1);
+            }
+            for (Srv s : cold) {
+                s.state = Srv.State.UP;
+                s.born = bed.now - 8000;
+            }
+            bed.play(in -> in.listed(cold, false));
+            for (Req r : out) bed.ends(r, 0, End.GOOD, true); // each cold one earns a dispatch
+            Req req = bed.req(c, READ, 1);
+            for (String s : bed.ask(req, 0, 1)) {
+                if (s.startsWith("dispatch")) firsts.merge(s.substring(s.lastIndexOf(' ') + 1), 1, Integer::sum);
+            }
+            bed.ends(req, 0, End.GOOD, true);
+        }
+        assertEquals(firsts.values().stream().mapToInt(n -> n).sum(), 12, firsts.toString());
+        assertTrue(firsts.size() > 2 && firsts.keySet().stream().allMatch(s -> s.startsWith("c")), firsts.toString());
+    }
+
     @Test
     public void theCeilingHoldsWithoutTheCounterAndARestartRefillsNothing() {
         Bed bed = new Bed(Bed.limits(false), false, false);
--- a/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
+++ b/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
@@ -139,6 +139,27 @@
         }
     }
 
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {
+            // as ColdBudgetStudy has them, processes, first seed of two; N from 16, under one a process from twenty on
+            {"half, gateways at once", 20, 1}, {"half, gateways by tenths", 30, 1}, {"half, uneven", 30, 1}, {"all", 30, 1},
+            {"all, gateways at once", 20, 1}, {"all but one", 30, 1}, {"all but one", 100, 5},
+            {"all, asked again and again", 20, 3}, {"all, asked again and again", 30, 1},
+        };
+    }
+
+    /** The sum over all processes, whoever was told. */
+    @Test(dataProvider = "fleets")
+    public void theSumOfAllProcessesStaysUnder(String what, int gateways, int first) throws Exception {
+        for (int seed = first; seed < first + 2; seed++) {
+            World w = new World(ColdBudgetStudy.scenario("middle", what, gateways, Map.of()), seed, Decide::new);
+            w.run();
+            ColdBudget.Approach a = w.oracle.cold().nearest();
+            assertTrue(a.of() > 0.2 && a.of() < 0.85, "seed " + seed + ": " + a);
+        }
+    }
+
     @DataProvider
     public Object[][] wrong() {
         return new Object[][] {
