--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -167,8 +167,7 @@
         /** Whether a server may have it whole: only then it has taken its units. */
         boolean came() { return hops.stream().anyMatch(h -> h.end != End.UNREACHABLE && h.end != End.VOID); }
 
-        /** How much longer what goes out again is known as a repeat: also what waits for its connection. */
-        double repeatsFor() {
+        double repeatsFor() { // what goes out again is known as a repeat so long, also while it waits
             return hops.stream().filter(h -> h.end == null || h.end.mayHaveRun)
                     .mapToDouble(h -> h.at + req.frontend.repeatWindow - place.tick - now).min().orElse(1e9);
         }
@@ -409,9 +408,8 @@
             if (n.cold()) n.tokens -= hop.job.req.units / meanUnits;
         }
 
-        // guards cold servers: each earns its part of a dispatch with each good answer of a warm server, for
-        // what one is sent beyond what it can do tells nothing, from a stock anywhere under one, so that many
-        // gateways, also restarted ones, do not send together
+        // guards cold servers: each earns its part of a dispatch with each good answer of a warm one, from a
+        // stock anywhere under one, so that many gateways, also restarted ones, do not send together
         private void warmed() {
             int warm = ranked.size() > cold.size() ? ranked.size() - cold.size() : Math.max(1, ranked.size());
             for (Node n : cold) n.tokens = Math.min(1, n.tokens + n.coldPart() / warm);
