Effects have the field's names: idempotent, idempotency key, non-idempotent

They were replayable, uniqued and non-replayable. Names only: settings, wire and meaning are as they were.

--- a/fleet/src/main/java/tinford/fleet/moves/PlanReader.java
+++ b/fleet/src/main/java/tinford/fleet/moves/PlanReader.java
@@ -70,7 +70,7 @@
         String name = text(n, "name", i, faults);
         Frontend f = known.frontends().get(name);
         faults.unless(f != null, i, "name", "one of the frontends that may move, not " + name);
-        boolean uniqued = f != null && f.effect == Effect.UNIQUED;
+        boolean uniqued = f != null && f.effect == Effect.IDEMPOTENCY_KEY;
         String from = text(n, "from", i, faults);
         faults.unless(f == null || from.equals(known.homes().get(name)), i, "from",
                 "where it is: " + known.homes().get(name));
--- a/fleet/src/main/java/tinford/fleet/overload/Trial.java
+++ b/fleet/src/main/java/tinford/fleet/overload/Trial.java
@@ -297,7 +297,7 @@
         }
         List<Frontend> kinds = new ArrayList<>();
         for (double v : VALUES) kinds.add(new Frontend("f" + v,
-                TARGET, 2 * TARGET, v, 0, Effect.REPLAYABLE, Group.ALL, 0, false));
+                TARGET, 2 * TARGET, v, 0, Effect.IDEMPOTENT, Group.ALL, 0, false));
         Customer customer = new Customer(1, new Plan("p", 0, 0, 0, 1, 1, 0, 0, 0, 0), 1, 0);
         double rate = 0.8 * SERVERS * SERVES / 2.5; // reqs a ms, of 1 to 4 units
         int seq = 0;
--- a/fleet/src/main/java/tinford/fleet/run/MoveOrders.java
+++ b/fleet/src/main/java/tinford/fleet/run/MoveOrders.java
@@ -53,7 +53,7 @@
                 faults.add(file + ": moves.homes: expected frontend=group, each of the settings' frontends once, not " + home);
             } else {
                 may.put(f.name, f);
-                window = Math.max(window, f.effect == Effect.UNIQUED ? f.repeatWindow + f.timeout : 0);
+                window = Math.max(window, f.effect == Effect.IDEMPOTENCY_KEY ? f.repeatWindow + f.timeout : 0);
             }
         }
         if (orders.number("log.linger_ms") < window) {
--- a/fleet/src/test/java/tinford/fleet/moves/PlanTest.java
+++ b/fleet/src/test/java/tinford/fleet/moves/PlanTest.java
@@ -36,8 +36,8 @@
             """;
 
     static PlanReader reader() {
-        return new PlanReader(new Plan.Known(Map.of("web", frontend("web", Effect.REPLAYABLE), "store",
-                frontend("store", Effect.UNIQUED)),
+        return new PlanReader(new Plan.Known(Map.of("web", frontend("web", Effect.IDEMPOTENT), "store",
+                frontend("store", Effect.IDEMPOTENCY_KEY)),
                 Map.of("web", "a", "store", "a"), Map.of("a", new Plan.Room(50, 50, 0.3), "b", new Plan.Room(20, 10, 0.3))));
     }
 
--- a/fleet/src/test/java/tinford/fleet/run/MoverTest.java
+++ b/fleet/src/test/java/tinford/fleet/run/MoverTest.java
@@ -75,7 +75,7 @@
             """;
 
     private static Frontend frontend(String name) {
-        return new Frontend(name, 800, 2500, 1, 0, name.equals("mid") ? Effect.UNIQUED : Effect.REPLAYABLE, Group.ALL, 3000, false);
+        return new Frontend(name, 800, 2500, 1, 0, name.equals("mid") ? Effect.IDEMPOTENCY_KEY : Effect.IDEMPOTENT, Group.ALL, 3000, false);
     }
 
     private static MoveOrders orders(String text, String plan) throws Exception {
--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -251,8 +251,8 @@
     private void finish(Job job, double wait) {
         over(job);
         Effect effect = job.req.frontend.effect;
-        boolean harmless = effect == Effect.REPLAYABLE || !job.mayHaveRun()
-                || effect == Effect.UNIQUED && job.req.frontend.group == Group.ALL;
+        boolean harmless = effect == Effect.IDEMPOTENT || !job.mayHaveRun()
+                || effect == Effect.IDEMPOTENCY_KEY && job.req.frontend.group == Group.ALL;
         wait = Math.max(wait, 2 * TICK_MS);
         if (view.spread() > 0) wait += view.spread() * chance.nextDouble(); // not all come back together
         if (harmless) out.deny(job.req, wait); else out.abort(job.req);
@@ -267,11 +267,11 @@
         for (Hop h : job.hops) {
             if (h.end == null && !limits.mayDuplicate) return false;
             if (h.end == null || h.end.mayHaveRun) first = h.node.srv;
-            if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.REPLAYABLE) continue;
+            if (h.end != null && !h.end.mayHaveRun || f.effect == Effect.IDEMPOTENT) continue;
             Srv was = h.node.srv;
             boolean drops = f.group == Group.ALL || f.group == Group.ZONE && was.zone.equals(node.srv.zone)
                     || f.group == Group.CELL && was.cell == node.srv.cell;
-            if (f.effect == Effect.NON_REPLAYABLE || !drops || job.repeatsFor() <= 0) return false;
+            if (f.effect == Effect.NON_IDEMPOTENT || !drops || job.repeatsFor() <= 0) return false;
         }
         if (job.hops.isEmpty() && !job.book.mayOpen(job.req.units)) return false;
         if (!view.mayGo(job.req, node.srv, first)) return false;
@@ -291,7 +291,7 @@
         }
         view.sent(job.req, node.srv, job.base(), !job.hops.isEmpty());
         Hop hop = new Hop(job, node);
-        double within = job.req.frontend.effect == Effect.UNIQUED ? job.repeatsFor() : 1e9;
+        double within = job.req.frontend.effect == Effect.IDEMPOTENCY_KEY ? job.repeatsFor() : 1e9;
         job.hops.add(hop);
         job.book.open++;
         fleet.sent(hop);
--- a/gateway/src/main/java/tinford/api/Group.java
+++ b/gateway/src/main/java/tinford/api/Group.java
@@ -1,4 +1,4 @@
 package tinford.api;
 
-/** The servers that drop repeats of a uniqued req. */
+/** The servers that drop repeats of a req with an idempotency key. */
 public enum Group { ALL, ZONE, CELL }
--- a/gateway/src/main/java/tinford/handed/Handed.java
+++ b/gateway/src/main/java/tinford/handed/Handed.java
@@ -70,15 +70,15 @@
 
     private static Effect effect(Fields c) {
         return switch (c.text("Effect")) {
-            case "read_like" -> Effect.REPLAYABLE;
-            case "idempotency_key" -> Effect.UNIQUED;
-            case "non_idempotent" -> Effect.NON_REPLAYABLE;
+            case "read_like" -> Effect.IDEMPOTENT;
+            case "idempotency_key" -> Effect.IDEMPOTENCY_KEY;
+            case "non_idempotent" -> Effect.NON_IDEMPOTENT;
             default -> throw c.bad("Effect", "read_like, idempotency_key or non_idempotent");
         };
     }
 
     private static Group group(Fields c) {
-        if (effect(c) != Effect.UNIQUED) {
+        if (effect(c) != Effect.IDEMPOTENCY_KEY) {
             return Group.ALL;
         }
         return switch (c.text("Group")) {
--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -169,10 +169,10 @@
         if (ask.units > mostUnits || ask.width > gateways || ask.first >= gateways) {
             throw new Malformed("units up to " + mostUnits + ", spread up to " + gateways + ", first below it");
         }
-        if (ask.resendable != (frontend.effect == Effect.REPLAYABLE)) {
+        if (ask.resendable != (frontend.effect == Effect.IDEMPOTENT)) {
             throw new Malformed("Q.ASK for what may run again, Q.DO for the rest");
         }
-        if (frontend.effect == Effect.UNIQUED && !ask.keyed) {
+        if (frontend.effect == Effect.IDEMPOTENCY_KEY && !ask.keyed) {
             throw new Malformed("k, the mark against repeats");
         }
         if (ids.contains(ask.id)) {
--- a/gateway/src/test/java/tinford/DecideTest.java
+++ b/gateway/src/test/java/tinford/DecideTest.java
@@ -16,7 +16,7 @@
 public class DecideTest {
     private static final Plan HARD = Bed.plan(0, 1, 0, 0);
     private static final Plan SOFT = Bed.plan(0.2, 0, 0, 0);
-    private static final Frontend READ = Bed.frontend(Effect.REPLAYABLE, Group.ALL);
+    private static final Frontend READ = Bed.frontend(Effect.IDEMPOTENT, Group.ALL);
 
     /** At 100 s a window of 30 s (six bursts of 10 units at 2 a second; 29 s at most) is 13 s old. */
     @DataProvider
@@ -131,10 +131,10 @@
 
     @DataProvider
     Object[][] repeats() {
-        Frontend once = Bed.frontend(Effect.NON_REPLAYABLE, Group.ALL);
-        Frontend cell = Bed.frontend(Effect.UNIQUED, Group.CELL);
-        Frontend zone = Bed.frontend(Effect.UNIQUED, Group.ZONE);
-        Frontend all = Bed.frontend(Effect.UNIQUED, Group.ALL);
+        Frontend once = Bed.frontend(Effect.NON_IDEMPOTENT, Group.ALL);
+        Frontend cell = Bed.frontend(Effect.IDEMPOTENCY_KEY, Group.CELL);
+        Frontend zone = Bed.frontend(Effect.IDEMPOTENCY_KEY, Group.ZONE);
+        Frontend all = Bed.frontend(Effect.IDEMPOTENCY_KEY, Group.ALL);
         return new Object[][] {
             // frontend, end of the first dispatch, what must come (at once or in the end)
             {READ, End.UNREACHABLE, "dispatch"}, {READ, End.BROKEN, "deny"}, {READ, End.TIMED_OUT, "deny"},
@@ -207,10 +207,10 @@
 
     /** With the budget full a dispatch that may have run goes on only inside the group, and only for its window. */
     @Test
-    public void aUniquedReqStaysInItsGroup() {
+    public void aReqWithAKeyStaysInItsGroup() {
         Bed bed = new Bed();
         bed.list("s1a", "s1b", "s2");
-        Frontend cell = Bed.frontend(Effect.UNIQUED, Group.CELL);
+        Frontend cell = Bed.frontend(Effect.IDEMPOTENCY_KEY, Group.CELL);
         Customer c = Bed.customer(Bed.plan(0, 1, 0, 0));
         int again = 0;
         for (int i = 0; i < 40; i++) {
@@ -241,7 +241,7 @@
             bed.ends(first, 0, End.GOOD, true);
         }
         for (double after : new double[] {0, 700, 1100}) {
-            Req req = bed.req(c, Bed.frontend(Effect.UNIQUED, Group.CELL), 0.1);
+            Req req = bed.req(c, Bed.frontend(Effect.IDEMPOTENCY_KEY, Group.CELL), 0.1);
             bed.ask(req, 0, 2);
             assertTrue(bed.within > 3000, "the first");
             bed.now += after;
@@ -786,7 +786,7 @@
     @Test(dataProvider = "caps")
     public void whatEarnsNothingMoreIsGivenUp(double lateValue, double cap) {
         Bed bed = new Bed();
-        Frontend f = new Frontend("f", 2000, 8000, 1, lateValue, Effect.REPLAYABLE, Group.ALL, 3000, false);
+        Frontend f = new Frontend("f", 2000, 8000, 1, lateValue, Effect.IDEMPOTENT, Group.ALL, 3000, false);
         Req req = bed.req(Bed.customer(HARD), f, 1);
         bed.ask(req, 0, 1);
         assertEquals(bed.cap, cap);
--- a/gateway/src/test/java/tinford/ViewTest.java
+++ b/gateway/src/test/java/tinford/ViewTest.java
@@ -11,7 +11,7 @@
 
 /** What a fleet has settled binds the decisions, and they tell it what it needs to settle more. */
 public class ViewTest {
-    private static final Frontend READ = Bed.frontend(Effect.REPLAYABLE, Group.ALL);
+    private static final Frontend READ = Bed.frontend(Effect.IDEMPOTENT, Group.ALL);
     private static final Plan FREE = new Plan("free", 0, 0, 0, 1, 0, 1, 0, 0, 0);
 
     /** A view that bounds one thing, and notes what it is told. */
--- a/gateway/src/test/java/tinford/routing/ClosingTest.java
+++ b/gateway/src/test/java/tinford/routing/ClosingTest.java
@@ -84,7 +84,7 @@
             });
         };
         desk = new Desk(gateway, 3, 20, 64 << 20, nanos::get);
-        clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, LONGEST, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false)),
+        clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, LONGEST, 1, 0, Effect.IDEMPOTENT, Group.ALL, 0, false)),
                 Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
         desk.seat(clients, null, null, null, null);
         try (ServerSocket free = new ServerSocket(0, 1, here)) {
--- a/gateway/src/test/java/tinford/routing/LeavingTest.java
+++ b/gateway/src/test/java/tinford/routing/LeavingTest.java
@@ -99,8 +99,8 @@
         desk = new Desk(gateway, 3, 30, 1 << 26);
         open.add(desk.loop::close);
         servers = new Servers(desk, 2.0 * PATIENCE, 15_000, 10, List.of());
-        clients = new Clients(desk, Map.of("f", new Frontend("f", 20_000, 80_000, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false),
-                "w", new Frontend("w", 20_000, 80_000, 1, 0, Effect.NON_REPLAYABLE, Group.ALL, 0, false)),
+        clients = new Clients(desk, Map.of("f", new Frontend("f", 20_000, 80_000, 1, 0, Effect.IDEMPOTENT, Group.ALL, 0, false),
+                "w", new Frontend("w", 20_000, 80_000, 1, 0, Effect.NON_IDEMPOTENT, Group.ALL, 0, false)),
                 Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, ROOM, 8, 8);
         desk.seat(clients, servers, null, null, null);
         try (ServerSocket free = new ServerSocket(0, 1, here)) {
--- a/gateway/src/test/java/tinford/routing/RoutingTest.java
+++ b/gateway/src/test/java/tinford/routing/RoutingTest.java
@@ -144,7 +144,7 @@
             }
         });
         Desk desk = new Desk(gateway, 3, 10, 1 << 20);
-        Clients clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false)),
+        Clients clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.IDEMPOTENT, Group.ALL, 0, false)),
                 Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
         desk.seat(clients, null, null, null, null);
         InetAddress here = InetAddress.getLoopbackAddress();
@@ -198,7 +198,7 @@
             }
         });
         Desk desk = new Desk(gateway, 3, 10, 1 << 20);
-        clients[0] = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.REPLAYABLE, Group.ALL, 0, false)),
+        clients[0] = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.IDEMPOTENT, Group.ALL, 0, false)),
                 Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
         desk.seat(clients[0], null, null, null, null);
         InetAddress here = InetAddress.getLoopbackAddress();
--- a/lab/src/main/java/tinford/lab/fleet/Runs.java
+++ b/lab/src/main/java/tinford/lab/fleet/Runs.java
@@ -17,7 +17,7 @@
     @Override
     public void see(History.Line l, Lives lives, Finds finds) {
         String req = l.text("req");
-        if (l.kind().equals("dispatch") && !l.text("effect").equals(Effect.REPLAYABLE.name())) {
+        if (l.kind().equals("dispatch") && !l.text("effect").equals(Effect.IDEMPOTENT.name())) {
             List<History.Line> its = runs.computeIfAbsent(req, k -> new ArrayList<>());
             its.stream().filter(first -> harm(first, l)).findFirst().ifPresent(first -> finds.breach("req " + req + " ("
                     + l.text("frontend") + ", " + l.text("effect") + ") runs again where it is not recognised",
@@ -29,7 +29,7 @@
     }
 
     private static boolean harm(History.Line first, History.Line again) {
-        return again.text("effect").equals(Effect.NON_REPLAYABLE.name()) || !first.text("group").equals(again.text("group"))
+        return again.text("effect").equals(Effect.NON_IDEMPOTENT.name()) || !first.text("group").equals(again.text("group"))
                 || again.at() - first.at() > again.fields().path("window").asDouble();
     }
 }
--- a/lab/src/main/java/tinford/lab/model/Oracle.java
+++ b/lab/src/main/java/tinford/lab/model/Oracle.java
@@ -54,8 +54,8 @@
         } else if (now > t.expires + SLACK && !t.left && !t.gatewayGone()) {
             breaks("lost", t, "answered after the client timeout");
         }
-        if (answer.equals("denied") && t.frontend.effect != Effect.REPLAYABLE && t.mayHaveRun()) {
-            boolean harmless = t.frontend.effect == Effect.UNIQUED && t.frontend.group == Group.ALL;
+        if (answer.equals("denied") && t.frontend.effect != Effect.IDEMPOTENT && t.mayHaveRun()) {
+            boolean harmless = t.frontend.effect == Effect.IDEMPOTENCY_KEY && t.frontend.group == Group.ALL;
             if (!harmless) {
                 breaks("effect", t, "denied though it may have run");
             }
@@ -82,9 +82,9 @@
             boolean may = h.end == null || h.end.mayHaveRun;
             if (h.end == null) {
                 breaks("effect", t, "two dispatches out at once");
-            } else if (may && t.frontend.effect == Effect.NON_REPLAYABLE) {
+            } else if (may && t.frontend.effect == Effect.NON_IDEMPOTENT) {
                 breaks("effect", t, "dispatched again though it may have run");
-            } else if (may && t.frontend.effect == Effect.UNIQUED
+            } else if (may && t.frontend.effect == Effect.IDEMPOTENCY_KEY
                     && (outside(t.frontend.group, h.to, m) || now - h.at > t.frontend.repeatWindow + SLACK)) {
                 breaks("effect", t, "repeated where it is not recognised");
             }
--- a/lab/src/main/java/tinford/lab/scenario/Scenario.java
+++ b/lab/src/main/java/tinford/lab/scenario/Scenario.java
@@ -30,7 +30,7 @@
     public record Frontend(String name, double share, double work, Dist dist, double cv, double target, double timeout,
             double value, Effect effect, double repeat_window) {}
 
-    public enum Effect { REPLAYABLE, UNIQUED, NON_REPLAYABLE }
+    public enum Effect { IDEMPOTENT, IDEMPOTENCY_KEY, NON_IDEMPOTENT }
 
     public record Plan(String name, double share, double rate, double burst, int max_out, double price, double beyond_value,
             double beyond_cost, double ceiling, double ceiling_burst, double slack) {}
--- a/lab/src/main/java/tinford/lab/sockets/Bench.java
+++ b/lab/src/main/java/tinford/lab/sockets/Bench.java
@@ -394,9 +394,9 @@
             List<Object> classes = new ArrayList<>();
             for (Scenario.Frontend f : s.frontends()) {
                 classes.add(Map.of("Name", f.name(), "Effect", switch (f.effect()) {
-                    case REPLAYABLE -> "read_like";
-                    case UNIQUED -> "idempotency_key";
-                    case NON_REPLAYABLE -> "non_idempotent";
+                    case IDEMPOTENT -> "read_like";
+                    case IDEMPOTENCY_KEY -> "idempotency_key";
+                    case NON_IDEMPOTENT -> "non_idempotent";
                 }, "Group", "cell", "HardLimitUs", f.timeout() * 1000, "OnTimeUs", f.target() * 1000, "Value", f.value(), "LateWorth", 0,
                         "Stream", false, "WindowUs", f.repeat_window() * 1000));
             }
@@ -607,8 +607,8 @@
         long mine = k.mine;
         double due = k.due;
         String terms = "c=" + f.name() + ",t=" + k.p.name() + ",d=" + (long) f.timeout() + ",units=" + k.a.units() + ",spread="
-                + s.clients().spread() + ",first=" + k.first + (f.effect() == Scenario.Effect.UNIQUED ? ",k=" + hex(mine) : "");
-        String command = Wire.command(f.effect() == Scenario.Effect.REPLAYABLE ? "Q.ASK" : "Q.DO", hex(k.a.customer()), hex(mine), terms);
+                + s.clients().spread() + ",first=" + k.first + (f.effect() == Scenario.Effect.IDEMPOTENCY_KEY ? ",k=" + hex(mine) : "");
+        String command = Wire.command(f.effect() == Scenario.Effect.IDEMPOTENT ? "Q.ASK" : "Q.DO", hex(k.a.customer()), hex(mine), terms);
         Gateway g = gateways.get((k.first + k.way) % gateways.size());
         Customer customer = new Customer(k.a.customer(), plans.get(k.p.name()), s.clients().spread(), k.first);
         Try t = new Try(mine, new Try.Asked(customer, frontends.get(f.name()), k.a.units(), 0, true), () -> g.life, due, false);
--- a/lab/src/test/java/tinford/lab/Scenarios.java
+++ b/lab/src/test/java/tinford/lab/Scenarios.java
@@ -8,7 +8,7 @@
     private Scenarios() {}
 
     public static Scenario small(double ceilings, String faults) throws Scenario.Bad {
-        return small(ceilings, faults, Effect.NON_REPLAYABLE);
+        return small(ceilings, faults, Effect.NON_IDEMPOTENT);
     }
 
     /** @param ceilings of the plan's rate, or 0 for none */
--- a/lab/src/test/java/tinford/lab/fleet/FleetMovesTest.java
+++ b/lab/src/test/java/tinford/lab/fleet/FleetMovesTest.java
@@ -129,9 +129,9 @@
     static void play(String faults, String plan, int length, Path folder, List<String> broken, List<History.Line> lines, Map<String, Double> figures)
             throws Exception {
         FleetScript script = FleetScript.of("faults", faults);
-        String text = Scenarios.text(0, "", Effect.UNIQUED);
+        String text = Scenarios.text(0, "", Effect.IDEMPOTENCY_KEY);
         int from = text.indexOf("[[frontends]]");
-        text = text.substring(0, from) + frontend("web", Effect.REPLAYABLE) + frontend("mid", Effect.UNIQUED) + frontend("base", Effect.REPLAYABLE)
+        text = text.substring(0, from) + frontend("web", Effect.IDEMPOTENT) + frontend("mid", Effect.IDEMPOTENCY_KEY) + frontend("base", Effect.IDEMPOTENT)
                 + text.substring(text.indexOf("[[plans]]"));
         Scenario s = Scenario.of("small", text, Map.of("gateways", "3", "length_s", Integer.toString(length), "clients.retries", "0",
                 "clients.leave", "0", "servers.count", "16", "plans.p.rate", "2"));
--- a/lab/src/test/java/tinford/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/tinford/lab/fleet/FleetTest.java
@@ -45,7 +45,7 @@
     static Map<String, Double> play(String faults, int length, Path folder, List<String> broken,
             List<History.Line> lines) throws Exception {
         FleetScript script = FleetScript.of("faults", faults);
-        Scenario s = Scenario.of("small", Scenarios.text(0, "", Effect.UNIQUED),
+        Scenario s = Scenario.of("small", Scenarios.text(0, "", Effect.IDEMPOTENCY_KEY),
                 Map.of("gateways", "5", "length_s", Integer.toString(length),
                 "clients.retries", "0", "clients.leave", "0"));
         script.check("faults", s.length_s(), 5);
--- a/lab/src/test/java/tinford/lab/fleet/JudgeTest.java
+++ b/lab/src/test/java/tinford/lab/fleet/JudgeTest.java
@@ -54,7 +54,7 @@
         List<History.Line> all = new ArrayList<>();
         all.add(at(0, "strained", "gateway", 0, "on", true));
         for (int i = 0; i < 200; i++) {
-            all.add(at(1000 + 5 * i, "dispatch", "effect", "REPLAYABLE", "further", i % (200 / further) == 0));
+            all.add(at(1000 + 5 * i, "dispatch", "effect", "IDEMPOTENT", "further", i % (200 / further) == 0));
         }
         return all;
     }
@@ -63,7 +63,7 @@
     public Object[][] histories() {
         History.Line asked = at(5, "asked", "req", "a", "via", 1, "timeout", 100);
         History.Line plan = at(1, "plan", "gateway", 0, "move", "m", "frontend", "f", "needs", List.of("d"));
-        String u = "UNIQUED";
+        String u = "IDEMPOTENCY_KEY";
         return new Object[][] {
             {"connections", true, lines(at(1, "offer", "server", "s", "offer", 1),
                     at(2, "opened", "server", "s", "held", 1, "from", 0),
@@ -88,7 +88,7 @@
                     run(50, "a", u, "2", "t"))},
             {"runs", true, lines(run(5, "a", u, "1", "s"), at(6, "ended", "req", "a", "server", "s", "how", "BROKEN"),
                     run(50, "a", u, "2", "t"))},
-            {"runs", true, lines(run(5, "a", "NON_REPLAYABLE", "1", "s"), run(50, "a", "NON_REPLAYABLE", "1", "t"))},
+            {"runs", true, lines(run(5, "a", "NON_IDEMPOTENT", "1", "s"), run(50, "a", "NON_IDEMPOTENT", "1", "t"))},
             {"stages", true, lines(stage(5, 0, 1), stage(6, 1, 1), stage(7, 0, 2), stage(8, 0, 3))},
             {"stages", false, lines(stage(5, 0, 1), stage(6, 1, 1), stage(7, 0, 2), stage(8, 1, 2), stage(9, 0, 3))},
             {"stages", false, lines(stage(5, 1, 1), at(6, "killed", "who", 1), stage(7, 0, 2), stage(8, 0, 3))},
@@ -101,7 +101,7 @@
             {"further", false, lines(strain(10))},
             {"further", false, lines(strain(50).subList(1, 201))},
             {"tries", true, lines(at(0, "ill", "server", "s"),
-                    many(6, 2500, 10, "dispatch", "server", "s", "effect", "REPLAYABLE"))},
+                    many(6, 2500, 10, "dispatch", "server", "s", "effect", "IDEMPOTENT"))},
             {"tries", true, lines(at(0, "ill", "server", "s"), many(6, 2500, 10, "try", "server", "s"))},
             {"tries", false, lines(at(0, "ill", "server", "s"), many(6, 2500, 300, "try", "server", "s"))},
             {"tries", false, lines(at(0, "ill", "server", "s"), many(6, 500, 10, "try", "server", "s"))},
--- a/lab/src/test/java/tinford/lab/model/ColdBudgetStudy.java
+++ b/lab/src/test/java/tinford/lab/model/ColdBudgetStudy.java
@@ -92,7 +92,7 @@
         changes.putAll(SETTINGS.get(setting));
         changes.putAll(further);
         changes.putAll(more);
-        return Scenario.of("cold", Scenarios.text(0, faults, Effect.REPLAYABLE), changes);
+        return Scenario.of("cold", Scenarios.text(0, faults, Effect.IDEMPOTENT), changes);
     }
 
     private static List<String> named(String word, Iterable<String> all) {
--- a/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
+++ b/lab/src/test/java/tinford/lab/model/ColdBudgetTest.java
@@ -89,7 +89,7 @@
                 for_s = 1
                 part = 0.6
                 size = 0
-                """, tinford.api.Effect.REPLAYABLE), changes);
+                """, tinford.api.Effect.IDEMPOTENT), changes);
     }
 
     /** Decisions that are told of other rules than those that hold. */
@@ -186,7 +186,7 @@
                 for_s = 5
                 part = 1
                 size = 5
-                """, tinford.api.Effect.REPLAYABLE);
+                """, tinford.api.Effect.IDEMPOTENT);
         Scenario.Bad e = expectThrows(Scenario.Bad.class, () -> Scenario.of("cold", text, Map.of(key, value)));
         assertTrue(e.getMessage().startsWith("cold: " + told), e.getMessage());
     }
--- a/lab/src/test/java/tinford/lab/model/OracleTest.java
+++ b/lab/src/test/java/tinford/lab/model/OracleTest.java
@@ -144,7 +144,7 @@
     /** The real decisions keep all rules where the rogues broke them. */
     @Test
     public void theDecisionsKeepThem() throws Exception {
-        for (String effect : List.of("REPLAYABLE", "UNIQUED", "NON_REPLAYABLE")) {
+        for (String effect : List.of("IDEMPOTENT", "IDEMPOTENCY_KEY", "NON_IDEMPOTENT")) {
             Scenario s = Scenarios.small(0.3, """
                     [[faults]]
                     kind = "SERVERS_DIE"
--- a/lab/src/test/java/tinford/lab/sockets/SocketsTest.java
+++ b/lab/src/test/java/tinford/lab/sockets/SocketsTest.java
@@ -60,7 +60,7 @@
                 for_s = 2
                 part = 0
                 size = 1
-                """, Effect.REPLAYABLE), Map.of("length_s", "5", "clients.retries", "0", "clients.leave", "0"));
+                """, Effect.IDEMPOTENT), Map.of("length_s", "5", "clients.retries", "0", "clients.leave", "0"));
         World drawn = new World(s, 5, Decide::new);
         drawn.run();
         Trace trace = drawn.asked();
@@ -85,7 +85,7 @@
                 for_s = 0.2
                 part = 0.5
                 size = 0
-                """, Effect.REPLAYABLE), Map.of("length_s", "5", "clients.retries", "0", "clients.leave", "0"));
+                """, Effect.IDEMPOTENT), Map.of("length_s", "5", "clients.retries", "0", "clients.leave", "0"));
         World drawn = new World(s, 6, Decide::new);
         drawn.run();
         List<String> broken = new java.util.ArrayList<>();
@@ -120,7 +120,7 @@
                 for_s = 0.1
                 part = 0.3
                 size = 0
-                """, Effect.NON_REPLAYABLE), Map.of("length_s", "4", "clients.retries", "0", "clients.leave", "0", "servers.cold_time", "1"));
+                """, Effect.NON_IDEMPOTENT), Map.of("length_s", "4", "clients.retries", "0", "clients.leave", "0", "servers.cold_time", "1"));
         World drawn = new World(s, 7, Decide::new);
         drawn.run();
         Path folder = Files.createTempDirectory("lab");
--- a/lab/src/test/java/tinford/lab/study/StudyTest.java
+++ b/lab/src/test/java/tinford/lab/study/StudyTest.java
@@ -100,7 +100,7 @@
     /** File, key and what was expected; exit code 3, and no result is left behind. */
     @Test(dataProvider = "wrong")
     public void badScenariosAreNamed(String part, String instead, String told) throws Exception {
-        String text = Scenarios.text(0, "", Effect.REPLAYABLE);
+        String text = Scenarios.text(0, "", Effect.IDEMPOTENT);
         assertTrue(text.contains(part));
         text = text.replace(part, instead);
         if (instead.startsWith("[[faults]]")) {
@@ -120,7 +120,7 @@
     @Test
     public void otherVersionsComeFromTheirJars() throws Exception {
         Path scenario = Files.createTempFile("scenario", ".toml");
-        Files.writeString(scenario, Scenarios.text(0, "", Effect.REPLAYABLE));
+        Files.writeString(scenario, Scenarios.text(0, "", Effect.IDEMPOTENT));
         Path jar = Files.createTempFile("module", ".jar");
         try (var out = new java.util.jar.JarOutputStream(Files.newOutputStream(jar))) {
             for (Class<?> c : all(Decide.class)) {
--- a/lab/src/test/java/tinford/lab/study/TraceTest.java
+++ b/lab/src/test/java/tinford/lab/study/TraceTest.java
@@ -117,7 +117,7 @@
     @Test(dataProvider = "settings")
     public void valuesAreSetFromOutside(String set, int code, String told) throws Exception {
         Path file = folder.resolve("s.toml");
-        Files.writeString(file, Scenarios.text(0, "", Effect.REPLAYABLE));
+        Files.writeString(file, Scenarios.text(0, "", Effect.IDEMPOTENT));
         StringWriter err = new StringWriter();
         assertEquals(LabLine.of().setErr(new PrintWriter(err)).setOut(new PrintWriter(new StringWriter()))
                 .execute("run", file.toString(), "--runs", "1", "--set", set), code, err.toString());
@@ -129,7 +129,7 @@
     public void aSweepIsToldAndPlotted() throws Exception {
         Path file = folder.resolve("s.toml");
         Path plot = folder.resolve("p.png");
-        Files.writeString(file, Scenarios.text(0, "", Effect.REPLAYABLE));
+        Files.writeString(file, Scenarios.text(0, "", Effect.IDEMPOTENT));
         StringWriter out = new StringWriter();
         StringWriter err = new StringWriter();
         String[] words = {"sweep", file.toString(), "--key", "servers.count", "--values", "2,4,wrong", "--runs", "3", "--plot", plot.toString()};
