The process is gone when it says so, not 0.3 s later

Cause: Runtime.halt waits for threads that stand in native code, for up to 30 times 10 ms, before the JVM ends. The I/O thread and the accepting thread stand in their selectors, so each end took 0.35 to 0.4 s longer than Handover.leave thought: the whole process was gone 1.03 s after SIGTERM and the longest client timeout, where SIGKILL may come after 0.7 s. Told apart by printing the time before and after: all answers out and halt called on time, the end of the process 0.4 s later. Ruled out: the log's flush (8 ms), the last connections, the machine's load (the same 0.3 s with each client timeout). Change: Loop.end closes the loop and waits until its threads are gone, 0.1 s at most; Handover.halt calls it at each end.

--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -29,6 +29,7 @@
 
     private static final double LOOK = 10;
     private static final double LAST_LINES = 100; // for the log, at the end
+    private static final double LAST_LOOK = 100; // for the I/O threads, which end at once where nothing holds them up
     private final Desk desk;
     private final Clients clients;
     private final Operators operators;
@@ -128,7 +129,7 @@
     void leave(Runnable last) {
         synchronized (this) { // guards a door that is being opened
             if (!begun) {
-                Runtime.getRuntime().halt(0);
+                halt();
             }
         }
         CountDownLatch left = new CountDownLatch(1);
@@ -150,6 +151,11 @@
         }
         last.run();
         Lines.flush(LAST_LINES);
+        halt();
+    }
+
+    private void halt() {
+        desk.loop.end(LAST_LOOK); // guards the time that is left, see there
         Runtime.getRuntime().halt(0);
     }
 
--- a/gateway/src/main/java/tinford/transport/Loop.java
+++ b/gateway/src/main/java/tinford/transport/Loop.java
@@ -130,6 +130,19 @@
         });
     }
 
+    /**
+     * As {@link #close}, and waits until its threads are gone, so long at most. Guards the process's end, which takes a JVM
+     * 0.3 s more while any thread waits within the machine, as those here do.
+     */
+    public void end(double ms) {
+        close();
+        try {
+            worker.awaitTermination((long) ms, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     public Room room() {
         return room;
     }
