--- a/gateway/src/test/java/tinford/handed/HandedTest.java
+++ b/gateway/src/test/java/tinford/handed/HandedTest.java
@@ -55,7 +55,7 @@
         Frontend a = Handed.frontends(set).get("a");
         Frontend k = Handed.frontends(set).get("k");
         assertEquals(new double[] {a.target, a.timeout, a.value, a.lateValue, k.target}, new double[] {4000, 4000, 1, 0, 5000});
-        assertEquals(a.effect, Effect.REPLAYABLE);
+        assertEquals(a.effect, Effect.IDEMPOTENT);
         assertEquals(k.repeatWindow, 0.0); // none known: never again where it may have run
         assertEquals(k.group, Group.CELL); // within any group
         Plan p = Handed.plans(set).get("p");
--- a/gateway/src/test/java/tinford/routing/ServerTurnsTest.java
+++ b/gateway/src/test/java/tinford/routing/ServerTurnsTest.java
@@ -76,7 +76,7 @@
         desk = new Desk((at, feed, out) -> feed.replay(inbox), 3, 100, 1 << 22, nanos::get);
         open.add(desk.loop::close);
         Servers servers = new Servers(desk, 250, 15_000, 10, List.of());
-        Clients clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.NON_REPLAYABLE, Group.ALL, 0, false)),
+        Clients clients = new Clients(desk, Map.of("f", new Frontend("f", 2000, 8000, 1, 0, Effect.NON_IDEMPOTENT, Group.ALL, 0, false)),
                 Map.of("p", new Plan("p", 0, 0, 0, 1, 0, 0, 0, 0, 0)), 1, 6, 15_000, 10, 1 << 20, 8, 8);
         desk.seat(clients, servers, null, null, null);
         int port;
