--- a/gateway/src/test/java/tinford/routing/ServerTurnsTest.java
+++ b/gateway/src/test/java/tinford/routing/ServerTurnsTest.java
@@ -145,7 +145,7 @@
     @Test(dataProvider = "timeOuts")
     public void anAnswerInTheTurnOfTheTimeOutIsNoSecondOne(String comes, boolean read) throws Exception {
         Req req = ask(1);
-        desk.loop.enter(() -> desk.dispatch(req, srv, CAP), 1e9);
+        desk.loop.enter(() -> desk.dispatch(req, srv, CAP, 1e9));
         Socket server = accept(1);
         desk.loop.enter(() -> {
             say(server, comes);
@@ -171,7 +171,7 @@
     @Test
     public void aSecondAnswerInTheTurnOfTheNextDispatchIsNotItsAnswer() throws Exception {
         Req first = ask(1);
-        desk.loop.enter(() -> desk.dispatch(first, srv, 0), 1e9);
+        desk.loop.enter(() -> desk.dispatch(first, srv, 0, 1e9));
         Socket server = accept(1);
         say(server, ONE);
         assertEquals(hear(client, 9), "$3\r\none\r\n");
