Servers: nothing of a list is taken whose mark or whose entry's class can't be read

`Servers.check` looks at each entry before any is taken, but not at `class`, and `Servers.list` read `whole` only behind the entries: a list with `"class":5` or `"whole":1` had drained or put back the servers named before, in place, without `in.listed`, when it was refused (the watch then asked for the same again). Both are looked at first now.

Two rows more in `aListThatCantBeReadIsAskedForAgainWhole`; both fail without it: DRAINING, where UP was expected.

--- a/gateway/src/main/java/tinford/routing/Servers.java
+++ b/gateway/src/main/java/tinford/routing/Servers.java
@@ -54,6 +54,7 @@
         List<Srv> entries = new ArrayList<>();
         List<Backend> left = new ArrayList<>();
         List<Fields> hosts = list.parts("hosts");
+        boolean whole = list.flag("whole");
         hosts.forEach(Servers::check);
         for (Fields e : hosts) {
             Backend b = backends.computeIfAbsent(e.text("host"), Backend::new);
@@ -78,7 +79,6 @@
             b.group = e.has("class") ? e.text("class") : "";
             b.size = e.real("share", 1);
         }
-        boolean whole = list.flag("whole");
         desk.in.listed(entries, whole);
         left.forEach(this::leave);
         for (Backend b : new ArrayList<>(backends.values())) {
@@ -130,6 +130,9 @@
             e.real("born_ms", 0);
             e.text("site");
             e.whole("block", 0);
+            if (e.has("class")) {
+                e.text("class");
+            }
             e.real("share", 1);
         }
     }
--- a/gateway/src/test/java/tinford/routing/WatchTest.java
+++ b/gateway/src/test/java/tinford/routing/WatchTest.java
@@ -159,13 +159,13 @@
         String good = host("s5", "ready");
         List<String> bad = List.of("{}", good.replace("\"s5\"", "5"), good.replace("ready", "asleep"), good.replace("127.0.0.1", "s5"),
             good.replace(":9\"", "\""), good.replace("born_ms\":0", "born_ms\":\"x\""), good.replace("\"a\"", "7"),
-            good.replace("block\":0", "block\":0.5"), good.replace("share\":1.0", "share\":{}"));
+            good.replace("block\":0", "block\":0.5"), good.replace("share\":1.0", "share\":{}"), good.replace("\"site\"", "\"class\":5,\"site\""));
         List<Object[]> all = new ArrayList<>();
         for (String entry : bad) {
             all.add(new Object[] {list(43, true, host("s0", "draining"), entry, "s1")});
         }
         String list = list(43, true, host("s0", "draining"));
-        for (String text : List.of(list.replace("43", "\"43\""), list.replace("43", "4.3"), list.replace("hosts", "host"),
+        for (String text : List.of(list.replace("43", "\"43\""), list.replace("43", "4.3"), list.replace("true", "1"), list.replace("hosts", "host"),
             list.replace("]", ",7]"), list.replace("[", "{\"x\":[").replace("]", "]}"), "[" + list.strip() + "]\n", "null\n")) {
             all.add(new Object[] {text});
         }
