A fault in one thing that came in holds up no other, also one without stack or memory left

Loop.playAll and turn caught RuntimeException only: an Error (the stack ran out under a list nested 900 deep, memory under a long one) left called true and what else had come in at that wake-up in the list: nothing was played any more, and the process stood. Both are caught now, told and passed by. LoopTest: the two rows with an Error fail without it (nothing behind it is played); the row with a RuntimeException held.

--- a/gateway/src/main/java/tinford/transport/Loop.java
+++ b/gateway/src/main/java/tinford/transport/Loop.java
@@ -116,8 +116,8 @@
         for (int i = 0; i < playing.size(); i++) {
             try {
                 playing.get(i).play();
-            } catch (RuntimeException e) {
-                // guards all others against a fault in the handling of one
+            } catch (RuntimeException | Error e) {
+                // guards all others against a fault in the handling of one, also one that ran out of stack or of memory
                 LOG.log(Level.ERROR, "one thing that came in was not handled to its end", e);
             }
         }
@@ -171,7 +171,7 @@
         }
         try {
             turn.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.log(Level.ERROR, "a turn was cut short", e);
         }
         for (int i = 0; i < unflushed.size(); i++) {
