Settings may lack what is optional; what can't be taken is one line, also where it hung

No Value, ResultMix, Specifics, LoadInfo, Discovery, Az, ColdFrom or known, and a keyed class without Group, ended the start. A `known` list that can't be read threw within a turn: Loop wrote one error and the start waited for good, with no exit code. Times above 292 years ran over in Loop.after: with HardLimitUs of 1e300 the process ended under a req that was out.

What a feature needs is named when it is missing, nought or too large; what is optional stands for what harms nobody: no time to connect is 1 s, no idle time 10 min, no target the client timeout, no UnitsTop no bound, no ColdUs 30 s and no ColdFrom a capacity of 0 (the most careful), no Group the cell, which lies within any; no WindowUs stays 0, after which nothing that may have run is sent again. No `known` is an empty list. Timers are at most some decades off.

--- a/gateway/src/main/java/tinford/handed/Fields.java
+++ b/gateway/src/main/java/tinford/handed/Fields.java
@@ -108,6 +108,19 @@
         return fields.get(field) == null ? absent : whole(field);
     }
 
+    /** A whole number that counts something. */
+    public int count(String field, int least) {
+        long n = whole(field);
+        if (n < least || n > Integer.MAX_VALUE) {
+            throw bad(field, "a whole number from " + least + " to " + Integer.MAX_VALUE);
+        }
+        return (int) n;
+    }
+
+    public int count(String field, int least, int absent) {
+        return fields.get(field) == null ? absent : count(field, least);
+    }
+
     public double real(String field) {
         if (fields.get(field) instanceof Number n) {
             return n.doubleValue();
@@ -119,9 +132,38 @@
         return fields.get(field) == null ? absent : real(field);
     }
 
+    /** A finite number from 0 on. */
+    public double amount(String field, double absent) {
+        double n = real(field, absent);
+        if (n >= 0 && n < Double.POSITIVE_INFINITY) {
+            return n;
+        }
+        throw bad(field, "a number from 0 on");
+    }
+
+    /** A finite number above 0. */
+    public double positive(String field) {
+        double n = real(field);
+        if (n > 0 && n < Double.POSITIVE_INFINITY) {
+            return n;
+        }
+        throw bad(field, "a number above 0");
+    }
+
     /** A time, given in microseconds, as milliseconds; 0 when absent. */
     public double millis(String field) {
-        return real(field, 0) / 1000;
+        return amount(field, 0) / 1000;
+    }
+
+    /** The same; so many milliseconds when absent or 0, where that stands for no such time. */
+    public double millis(String field, double absent) {
+        double n = millis(field);
+        return n > 0 ? n : absent;
+    }
+
+    /** An object, or one without fields when absent. */
+    public Fields optional(String field) {
+        return has(field) ? part(field) : within(field, Map.of());
     }
 
     public double[] reals(String field) {
--- a/gateway/src/main/java/tinford/program/Serve.java
+++ b/gateway/src/main/java/tinford/program/Serve.java
@@ -92,7 +92,6 @@
         Fields given = read(json, env.get("ROUTER_CONFIG"));
         Fields set = given.part("settings");
         Limits limits = Handed.limits(set);
-        Fields bounds = set.part("Limits");
         int sockets = (int) Math.max(0, Math.min(MOST_SOCKETS, given.part("limits").whole("sockets")));
         boolean managed = given.has("management");
         int operated = managed ? Math.min(TO_OPERATORS, Math.max(4, sockets / 16)) : 0;
@@ -102,15 +101,16 @@
         }
         long bytes = Runtime.getRuntime().maxMemory() / 4; // for buffers, and as much for reqs: half is left
         Desk desk = new Desk(Handed.make(maker, seed(given), set), limits.maxDispatches, most, bytes);
-        double connectWithin = bounds.millis("ConnectTimeoutUs");
-        Servers servers = new Servers(desk, connectWithin, bounds.millis("KeepaliveUs"), most, loadNames(set));
+        double connectWithin = Handed.connectWithin(set);
+        double idleMost = Handed.idleMost(set);
+        Servers servers = new Servers(desk, connectWithin, idleMost, most, loadNames(set));
         Clients clients = new Clients(desk, Handed.frontends(set), Handed.plans(set), Handed.place(set).gateways,
-                Handed.counter(set).largest, bounds.millis("KeepaliveUs"), (int) bounds.whole("OpenCap", 20_000), bytes,
+                Handed.mostUnits(set), idleMost, Handed.mostOpen(set), bytes,
                 desk.loop.descriptors().most(Descriptors.Party.CLIENTS), sockets / IDLE_PART);
         Counter counter = Handed.counter(set).present
                 ? new Counter(desk, Addresses.of(given, "counter"), connectWithin, Handed.counter(set).timeout,
                 TO_COUNTER) : null;
-        Fields known = given.part("known");
+        Fields known = given.optional("known");
         Watch watch = new Watch(desk, Addresses.of(given, "discovery"), connectWithin, servers,
                 json, known.whole("seq", 0), new Random(seed(given)));
         Peers peers = limits.peers && companion == null ? new Peers(desk, Addresses.of(given, "peer_listen"), addresses(given, "peers"),
@@ -130,6 +130,7 @@
         try {
             CountDownLatch tried = new CountDownLatch(1);
             AtomicReference<IOException> shut = new AtomicReference<>();
+            AtomicReference<BadInput> wrong = new AtomicReference<>();
             desk.loop.enter(() -> {
                 desk.begin();
                 if (managed) {
@@ -145,7 +146,15 @@
                     }
                     accompany(desk, servers, companion);
                 }
-                servers.list(known);
+                try {
+                    if (given.has("known")) {
+                        servers.list(known);
+                    }
+                } catch (BadInput e) { // guards a start that would wait for good behind it
+                    wrong.set(e);
+                    tried.countDown();
+                    return;
+                }
                 if (counter != null) {
                     counter.connect();
                 }
@@ -165,6 +174,10 @@
                 }
             });
             await(tried);
+            if (wrong.get() != null) {
+                desk.loop.close();
+                throw wrong.get();
+            }
             if (shut.get() != null) {
                 desk.loop.close();
                 throw shut.get();
@@ -295,8 +308,9 @@
     }
 
     private static List<String> loadNames(Fields set) {
-        Fields load = set.part("LoadInfo");
-        return load.text("How").equals("silent") ? List.of() : load.texts("Fields");
+        Fields load = set.optional("LoadInfo");
+        boolean silent = !load.has("How") || load.text("How").equals("silent") || !load.has("Fields");
+        return silent ? List.of() : load.texts("Fields");
     }
 
     private static List<InetSocketAddress> addresses(Fields given, String field) {
--- a/gateway/src/main/java/tinford/transport/Loop.java
+++ b/gateway/src/main/java/tinford/transport/Loop.java
@@ -21,6 +21,8 @@
 public final class Loop {
     private static final System.Logger LOG = System.getLogger("tinford.transport");
 
+    private static final double FAR = 1e12; // some decades: guards against times handed that no clock can hold
+
     /** Something that came in and waits to be played. */
     public interface Due {
         void play();
@@ -94,7 +96,7 @@
     }
 
     public Timer after(double ms, Due then) {
-        Timer t = new Timer(nanos.getAsLong() + (long) (Math.max(0, ms) * 1e6), then);
+        Timer t = new Timer(nanos.getAsLong() + (long) (Math.min(FAR, Math.max(0, ms)) * 1e6), then);
         timers.add(t);
         call(); // only the end of a turn sets the alarm
         return t;
--- a/gateway/src/test/java/tinford/program/Surroundings.java
+++ b/gateway/src/test/java/tinford/program/Surroundings.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -233,6 +234,11 @@
 
     /** From now on every command is passed, whichever connection it comes on. */
     void serveAll(ServerSocket at) {
+        serveAll(at, "", new CountDownLatch(0));
+    }
+
+    /** That one's answer waits. */
+    void serveAll(ServerSocket at, String id, CountDownLatch until) {
         Thread door = new Thread(() -> {
             try {
                 while (true) {
@@ -240,9 +246,12 @@
                     Thread talk = new Thread(() -> {
                         try {
                             for (String s = t.hear(); s != null; s = t.hear()) {
+                                if (s.split(" ")[2].equals(id)) {
+                                    until.await();
+                                }
                                 t.say(value("for " + s.split(" ")[2]));
                             }
-                        } catch (IOException e) {
+                        } catch (IOException | InterruptedException e) {
                             // the test is over
                         }
                     });
