Tests: a caller of RestartTest is told to stop by a flag of its own, not through its count of reqs

Written between the two reads of that count in Caller.ask, the command had another id than the list of those expected. The caller checks as before, until it is told to stop.

--- a/gateway/src/test/java/tinford/program/RestartTest.java
+++ b/gateway/src/test/java/tinford/program/RestartTest.java
@@ -37,6 +37,7 @@
         int lost; // closed unread with nowhere to go
         String wrong;
         private int next;
+        private volatile boolean enough; // it has been asked for what it has sent
         private Talk talk;
 
         Caller(int n, int together, long firstAt, boolean early) {
@@ -59,7 +60,7 @@
                     LockSupport.parkNanos(200_000);
                 }
                 int owed = 0; // to be sent once more
-                while (next < 20_000 && (owed > 0 || since() < 10_000)) {
+                while (!enough && next < 20_000 && (owed > 0 || since() < 10_000)) {
                     if (talk == null || !stays()) {
                         talk = client();
                     }
@@ -220,7 +221,7 @@
         List<String> wrong = new ArrayList<>();
         for (Caller c : callers) {
             if (followed) {
-                c.next = 20_000;
+                c.enough = true;
             }
             c.join(PATIENCE);
             answered += c.answered;
