--- a/gateway/src/test/java/tinford/program/RestartTest.java
+++ b/gateway/src/test/java/tinford/program/RestartTest.java
@@ -151,23 +151,6 @@
         });
     }
 
-    private interface Part {
-        void play() throws Exception;
-    }
-
-    private static Thread daemon(Part part) {
-        Thread t = new Thread(() -> {
-            try {
-                part.play();
-            } catch (Exception e) {
-                // the test is over, or the gateway is
-            }
-        });
-        t.setDaemon(true);
-        t.start();
-        return t;
-    }
-
     private void signal() {
         signalled = System.nanoTime();
         gateway.toHandle().destroy();
--- a/gateway/src/test/java/tinford/program/ServerEndsTest.java
+++ b/gateway/src/test/java/tinford/program/ServerEndsTest.java
@@ -55,22 +55,6 @@
         }
     }
 
-    private interface Part {
-        void play() throws Exception;
-    }
-
-    private static void daemon(Part part) {
-        Thread t = new Thread(() -> {
-            try {
-                part.play();
-            } catch (Exception e) {
-                // the test is over, or that connection
-            }
-        });
-        t.setDaemon(true);
-        t.start();
-    }
-
     private Talk upWithTwo() throws Exception {
         came.clear();
         return up(entry(0, servers[0], "ready"), entry(0, servers[0], "ready") + "," + entry(1, servers[1], "ready"));
--- a/gateway/src/test/java/tinford/program/ShutdownTest.java
+++ b/gateway/src/test/java/tinford/program/ShutdownTest.java
@@ -68,23 +68,6 @@
         });
     }
 
-    private interface Part {
-        void play() throws Exception;
-    }
-
-    private static Thread daemon(Part part) {
-        Thread t = new Thread(() -> {
-            try {
-                part.play();
-            } catch (Exception e) {
-                // the test is over, or the gateway is
-            }
-        });
-        t.setDaemon(true);
-        t.start();
-        return t;
-    }
-
     private void gone(double from, double to) throws Exception {
         assertTrue(gateway.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
         double took = since();
--- a/gateway/src/test/java/tinford/program/Surroundings.java
+++ b/gateway/src/test/java/tinford/program/Surroundings.java
@@ -232,6 +232,24 @@
         }
     }
 
+    interface Part {
+        void play() throws Exception;
+    }
+
+    /** Beside the test, until that is over or what it talks with is gone. */
+    static Thread daemon(Part part) {
+        Thread t = new Thread(() -> {
+            try {
+                part.play();
+            } catch (Exception e) {
+                // it is
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+        return t;
+    }
+
     /** From now on every command is passed, whichever connection it comes on. */
     void serveAll(ServerSocket at) {
         serveAll(at, "", new CountDownLatch(0));
