What reached no server gives its units back on the customer's next call, not by one of its own

Cause: Decide.over called takeBack, a call each, for every req whose dispatches had all ended unreachable; in a cut these are many at once, and the counter bears few. Change: settle, which the next call carries.

--- a/gateway/src/main/java/tinford/Decide.java
+++ b/gateway/src/main/java/tinford/Decide.java
@@ -226,7 +226,8 @@
         if (job.inside && job.hops.isEmpty() && !job.over) view.denied(job.req, job.base());
         job.over = true;
         line.remove(job);
-        if (job.countedIn != null && !job.came()) quotas.takeBack(job);
+        if (job.countedIn != null && job.hops.isEmpty()) quotas.takeBack(job);
+        else if (!job.came()) quotas.settle(job, 0); // no call of its own: many are unreachable together
     }
 
     private void drainLine() {
@@ -341,8 +342,7 @@
     // the slowest do half of the mean: a third of the multiple leaves them room for bursts of heavy work
     private static final double COLD_MARGIN = 0.3;
 
-    /** Ranking and health. */
-    private final class Fleet {
+    private final class Fleet { // ranking and health
         final Rules rules;
         final double start = 5.0 / place.gateways; // five out at a server of middling size, over all gateways
         final List<Node> nodes = new ArrayList<>(), ranked = new ArrayList<>(), cold = new ArrayList<>();
