Tests: the end of a process is timed against the machine's own lateness, not against load

ShutdownTest.serversThatHangHoldUpNoEnd failed in 3 of 18 runs beside other work (gone after 2008 ms where 1950 are asked). The bound stays 0.7 s and 0.25 s on a machine that lets go on whoever is due; by how much it did not, a thread that is due each millisecond measures meanwhile, and five times that is added: the end takes that many wake-ups.

--- a/gateway/src/test/java/tinford/program/ShutdownTest.java
+++ b/gateway/src/test/java/tinford/program/ShutdownTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -26,6 +27,7 @@
     private final Set<String> sentOn = ConcurrentHashMap.newKeySet(); // ids seen by servers
     private final Semaphore holds = new Semaphore(0); // one for each req that a server has read and does not answer
     private long signalled;
+    private volatile double latest; // ms, of this machine since the signal
     private int longest = 4000; // of the client timeouts
 
     @Override
@@ -37,10 +39,21 @@
     private void signal() {
         if (signalled == 0) {
             signalled = System.nanoTime();
+            daemon(this::watchMachine);
         }
         gateway.toHandle().destroy();
     }
 
+    /** How late it lets whoever is due go on: a process that ends is due several times in a row. */
+    private void watchMachine() {
+        latest = 0;
+        while (gateway.isAlive()) {
+            long from = System.nanoTime();
+            LockSupport.parkNanos(1_000_000);
+            latest = Math.max(latest, (System.nanoTime() - from) / 1e6 - 1);
+        }
+    }
+
     private double since() {
         return (System.nanoTime() - signalled) / 1e6;
     }
@@ -71,7 +84,7 @@
     private void gone(double from, double to) throws Exception {
         assertTrue(gateway.waitFor(PATIENCE, TimeUnit.MILLISECONDS));
         double took = since();
-        assertTrue(took >= from && took <= to, "gone after " + took);
+        assertTrue(took >= from && took <= to + 5 * latest, "gone after " + took + ", the machine late by " + latest);
         assertEquals(gateway.exitValue(), 0);
     }
 
