What waits for a connection goes with the process, too

Cause: Clients.cutShort answered each open req and told the decisions that nobody waits, but left its dispatch: one that waited for its connection could still leave in the 20 ms behind the final answer. Clients.left does all three; cutShort calls it now instead of the half of it that it had written again. LeavingTest whatWaitsForAConnectionGoesWithTheProcess: without it nothing ends ("ended VOID" expected, nothing heard). Read again with it: three places for the roadmap, among them the choice of the last answer in cutShort, which is a decision and belongs into Decide.

--- a/gateway/src/main/java/tinford/routing/Clients.java
+++ b/gateway/src/main/java/tinford/routing/Clients.java
@@ -312,6 +312,6 @@
         } else {
             abort(e);
         }
-        desk.in.left(e);
+        left(e);
     }
 }
--- a/gateway/src/test/java/tinford/routing/LeavingTest.java
+++ b/gateway/src/test/java/tinford/routing/LeavingTest.java
@@ -210,6 +210,20 @@
         assertEquals(hear(), "ended VOID");
     }
 
+    /** Answered at the process's end, it must not leave in the moments that are left. */
+    @Test
+    public void whatWaitsForAConnectionGoesWithTheProcess() throws Exception {
+        sends = true;
+        Socket s = client();
+        say(s, ask(1));
+        assertEquals(hear(), "arrived");
+        turn(() -> clients.end(() -> { }));
+        String answer = "-ERR aborted\r\n";
+        assertEquals(new String(s.getInputStream().readNBytes(answer.length()), StandardCharsets.ISO_8859_1), answer);
+        assertEquals(hear(), "left");
+        assertEquals(hear(), "ended VOID");
+    }
+
     @DataProvider
     public Object[][] leavings() {
         return new Object[][] {{"draining"}, {"gone"}, {"not listed"}, {"moved"}, {"started anew"}, {"taken out"}};
