Long bodies: one copy, counted until the request is answered, then released

Callers saw: beside others that send long bodies, a request that was read got no answer and no close. A gateway with a heap of 64 MB ran out of it on its I/O thread.

Cause, from heap dumps at the first OutOfMemoryError (three of three alike): nine commands of 4 MiB and two connection buffers of 4 MiB, 46 of 47 MB in byte arrays, where three commands are what the limit (a quarter of the heap) allows. A request that has its final answer no longer counted, but its command was referenced by whatever still knew the request; the buffer's reservation went to the next connection before the command was copied out of it; and the copy doubled each.

Change: a long command keeps the array that it arrived in; reserved buffers and commands count in one budget (HeldBytes), a reservation turns into a command without a gap, and waiting connections are served once the bytes are free; a request gives up its command's bytes with its final answer, and nothing more of it is sent then.

--- a/gateway/src/main/java/tinford/protocol/ClientCommand.java
+++ b/gateway/src/main/java/tinford/protocol/ClientCommand.java
@@ -1,6 +1,7 @@
 package tinford.protocol;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -39,7 +40,14 @@
     public int firstGateway;
     public boolean markedAsRetry;
     public boolean hasIdempotencyKey;
-    private final byte[] raw;
+
+    /** The array that holds the command, or null once its bytes are released. */
+    private byte[] raw;
+
+    /** Where the command begins in the array; all other positions count from here. */
+    private int start;
+
+    private final int length;
 
     /** Where the length line of the terms begins, and the terms themselves. */
     private final int termsHead;
@@ -50,6 +58,8 @@
     private int timeoutEnd;
 
     /**
+     * Refers to the bytes until {@link #copyBytes} gives it bytes of its own.
+     *
      * @param parsed the command's parts
      * @param from where the command begins in the bytes
      * @param length of the command in bytes
@@ -61,8 +71,9 @@
         checkPartCount(parsed.partCount());
         tenant = parseTenant(parsed.text(1));
         id = parseId(parsed.text(2), "id");
-        raw = new byte[length];
-        System.arraycopy(bytes, from, raw, 0, length);
+        raw = bytes;
+        start = from;
+        this.length = length;
         termsStart = parsed.offset(TERMS_PART) - from;
         termsEnd = termsStart + parsed.length(TERMS_PART);
         termsHead = lastIndexOf('$', termsStart - "$\r\n".length());
@@ -104,7 +115,7 @@
 
     private int lastIndexOf(char character, int last) {
         int index = last;
-        while (raw[index] != character) {
+        while (raw[start + index] != character) {
             index--;
         }
         return index;
@@ -113,7 +124,7 @@
     /** The first index of the character in the terms, from {@code from} on, or {@code to}. */
     private int indexOf(char character, int from, int to) {
         int index = from;
-        while (index < to && raw[index] != character) {
+        while (index < to && raw[start + index] != character) {
             index++;
         }
         return index;
@@ -121,20 +132,20 @@
 
     private void parseTerms() throws ProtocolException {
         Set<String> names = new HashSet<>();
-        int start = termsStart;
-        while (start < termsEnd) {
-            int end = indexOf(',', start, termsEnd);
-            int equals = indexOf('=', start, end);
+        int termStart = termsStart;
+        while (termStart < termsEnd) {
+            int end = indexOf(',', termStart, termsEnd);
+            int equals = indexOf('=', termStart, end);
             if (equals == end) {
                 throw new ProtocolException("terms as name=value,name=value");
             }
-            String name = text(start, equals);
+            String name = text(termStart, equals);
             // a server might use the other one of two terms than the one that was checked
             if (!names.add(name)) {
                 throw new ProtocolException("each term once");
             }
             setTerm(name, equals + 1, end);
-            start = end + 1;
+            termStart = end + 1;
         }
     }
 
@@ -159,8 +170,8 @@
         }
     }
 
-    private String text(int start, int end) {
-        return new String(raw, start, end - start, StandardCharsets.ISO_8859_1);
+    private String text(int from, int to) {
+        return new String(raw, start + from, to - from, StandardCharsets.ISO_8859_1);
     }
 
     private static double parseNumber(String value, String name, double min, double max)
@@ -183,7 +194,18 @@
 
     /** The length of the command in bytes, as it came from the client. */
     public int length() {
-        return raw.length;
+        return length;
+    }
+
+    /** Copies the bytes, so that the array that they were parsed from may be used again. */
+    public void copyBytes() {
+        raw = Arrays.copyOfRange(raw, start, start + length);
+        start = 0;
+    }
+
+    /** Gives the bytes up; nothing can be written from then on. */
+    public void releaseBytes() {
+        raw = null;
     }
 
     /**
@@ -195,20 +217,20 @@
     public int write(ConnectionBuffer target, long timeoutMsForServer) {
         String timeout = Long.toString(timeoutMsForServer);
         int oldTimeoutLength = timeoutEnd - timeoutStart;
-        target.put(raw, 0, termsHead)
+        target.put(raw, start, termsHead)
                 .put("$")
                 .put(termsEnd - termsStart - oldTimeoutLength + timeout.length())
                 .putLineEnd()
-                .put(raw, termsStart, timeoutStart - termsStart)
+                .put(raw, start + termsStart, timeoutStart - termsStart)
                 .put(timeout);
         return write(target, timeoutEnd);
     }
 
     /** Puts the next piece, from that byte on; the result is as above. */
     public int write(ConnectionBuffer target, int from) {
-        int rest = raw.length - from;
+        int rest = length - from;
         int count = rest <= MAX_WHOLE_WRITE_BYTES ? rest : PIECE_BYTES;
-        target.put(raw, from, count);
+        target.put(raw, start + from, count);
         return from + count;
     }
 }
--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -132,13 +132,19 @@
             return false;
         }
         partialSinceMs = 0;
-        releaseBuffer();
-        if (!reader.isCommand()) {
-            throw new ProtocolException("an array of bulk strings");
+        boolean hasReservedBuffer = reservedBytes > 0;
+        releaseReservation();
+        try {
+            if (!reader.isCommand()) {
+                throw new ProtocolException("an array of bulk strings");
+            }
+            commandSeen = true;
+            lastUseMs = pool.context.nowMs();
+            handle(reader, length, hasReservedBuffer);
+        } finally {
+            // Only now the command has its place among those held, and its buffer is free.
+            pool.commandBuffers.serveWaiting();
         }
-        commandSeen = true;
-        lastUseMs = pool.context.nowMs();
-        handle(reader, length);
         return true;
     }
 
@@ -176,6 +182,11 @@
         discard();
     }
 
+    /** Frees a buffer that a long command arrived in, before its reservation goes to another. */
+    private void dropUnread() {
+        buffer.consume(buffer.unreadBytes());
+    }
+
     private void discard() {
         int length = Math.min(discardBytes, buffer.unreadBytes());
         discardBytes -= length;
@@ -196,7 +207,8 @@
         resumeReads();
     }
 
-    private void releaseBuffer() {
+    /** Ends the reservation, or the wait for one; those that wait are not served yet. */
+    private void releaseReservation() {
         if (reservedBytes > 0 || awaitedBytes > 0) {
             int released = reservedBytes;
             reservedBytes = 0;
@@ -205,12 +217,18 @@
         }
     }
 
+    private void releaseBuffer() {
+        releaseReservation();
+        pool.commandBuffers.serveWaiting();
+    }
+
     /** What follows can't be read: one error line behind the outstanding responses, and the end. */
     private void rejectAsMalformed(ProtocolException cause) {
         closeWithLine("-ERR " + cause.getMessage());
     }
 
     private void closeWithLine(String line) {
+        dropUnread();
         releaseBuffer();
         answerLine(newSlot(), line);
         discardInput();
@@ -251,7 +269,11 @@
         return isClosed();
     }
 
-    private void handle(RespReader reader, int length) {
+    /**
+     * @param hasReservedBuffer whether the command is a long one that has arrived in a buffer of
+     *     its own, which it then keeps: a copy would need its memory twice
+     */
+    private void handle(RespReader reader, int length, boolean hasReservedBuffer) {
         int from = buffer.readIndex();
         if (reader.partCount() == 1 && reader.text(0).equals("PING")) {
             buffer.consume(length);
@@ -267,7 +289,13 @@
             answerLine(newSlot(), "-ERR " + e.getMessage());
             return;
         }
-        buffer.consume(length);
+        if (hasReservedBuffer) {
+            buffer.consume(length);
+            buffer.detachArray();
+        } else {
+            request.command.copyBytes();
+            buffer.consume(length);
+        }
         responses.add(request.slot);
         pool.submit(request, responses.size() > MAX_WAITING_COMMANDS);
     }
@@ -387,6 +415,7 @@
 
     @Override
     protected void onClosed(CloseReason reason) {
+        dropUnread();
         pool.connectionClosed(this);
         releaseBuffer();
         for (ResponseSlot slot = responses.first(); slot != null; slot = slot.next) {
--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -36,6 +36,7 @@
     final ClientLimits limits;
     final CommandBuffers commandBuffers;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final HeldBytes heldBytes;
     private final OpenRequests openRequests;
     private final ClientRequestFactory requestFactory;
     private Listener listener;
@@ -49,8 +50,9 @@
     public ClientPool(RoutingContext context, Catalog catalog, ClientLimits limits) {
         this.context = context;
         this.limits = limits;
-        this.commandBuffers = new CommandBuffers(limits.maxHeldBytes());
-        this.openRequests = new OpenRequests(limits);
+        this.heldBytes = new HeldBytes(limits.maxHeldBytes());
+        this.commandBuffers = new CommandBuffers(heldBytes);
+        this.openRequests = new OpenRequests(limits, heldBytes);
         this.requestFactory = new ClientRequestFactory(context, limits, openRequests, catalog);
     }
 
@@ -210,12 +212,16 @@
         }
         request.markFinished();
         openRequests.remove(request);
+        commandBuffers.serveWaiting();
         return true;
     }
 
     /** Counts bytes of responses that wait for earlier ones, or no longer do if below 0. */
     void addHeldBytes(int bytes) {
-        openRequests.addHeldBytes(bytes);
+        heldBytes.add(bytes);
+        if (bytes < 0) {
+            commandBuffers.serveWaiting();
+        }
     }
 
     void connectionClosed(ClientConnection connection) {
--- a/gateway/src/main/java/tinford/routing/client/ClientRequest.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientRequest.java
@@ -53,8 +53,10 @@
         return finished;
     }
 
+    /** Nothing of it is sent any more, so the bytes of its command are released. */
     void markFinished() {
         finished = true;
+        command.releaseBytes();
     }
 
     @Override
--- a/gateway/src/main/java/tinford/routing/client/OpenRequests.java
+++ b/gateway/src/main/java/tinford/routing/client/OpenRequests.java
@@ -7,22 +7,23 @@
 final class OpenRequests {
     private final ClientLimits limits;
     private final Set<Long> ids = new HashSet<>();
+    private final HeldBytes heldBytes;
     private int count;
-    private long heldBytes;
 
-    OpenRequests(ClientLimits limits) {
+    OpenRequests(ClientLimits limits, HeldBytes heldBytes) {
         this.limits = limits;
+        this.heldBytes = heldBytes;
     }
 
     void add(ClientRequest request) {
         count++;
-        heldBytes += request.command.length();
+        heldBytes.add(request.command.length());
         ids.add(request.id);
     }
 
     void remove(ClientRequest request) {
         count--;
-        heldBytes -= request.command.length();
+        heldBytes.add(-request.command.length());
         ids.remove(request.id);
     }
 
@@ -30,12 +31,7 @@
         return ids.contains(id);
     }
 
-    /** Counts bytes of responses that wait for earlier ones, or no longer do if below 0. */
-    void addHeldBytes(int bytes) {
-        heldBytes += bytes;
-    }
-
     boolean exceedLimits() {
-        return count > limits.maxOpenRequests() || heldBytes > limits.maxHeldBytes();
+        return count > limits.maxOpenRequests() || heldBytes.isExceeded();
     }
 }
--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -103,10 +103,22 @@
 
     @Override
     protected void onDrained() {
-        if (attempt != null) {
-            commandOffset = attempt.request.command.write(buffer, commandOffset);
-            awaitWriteIfUnfinished();
-            scheduleFlush();
+        if (attempt == null) {
+            return;
+        }
+        if (attempt.request.isFinished()) {
+            endUnfinishedWrite();
+            return;
+        }
+        commandOffset = attempt.request.command.write(buffer, commandOffset);
+        awaitWriteIfUnfinished();
+        scheduleFlush();
+    }
+
+    /** The request has its final answer, so the rest of its command is not sent. */
+    private void endUnfinishedWrite() {
+        if (!isSent() && streamRemaining == NO_STREAM) {
+            close(CloseReason.CANCELLED);
         }
     }
 
--- a/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
+++ b/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
@@ -193,6 +193,20 @@
         }
     }
 
+    /** Leaves the array to what was consumed from it last; the rest moves to another one. */
+    public void detachArray() {
+        int unread = unreadBytes();
+        int unwritten = unwrittenBytes();
+        byte[] rest = new byte[unread + unwritten];
+        System.arraycopy(bytes, readIndex, rest, 0, unread);
+        System.arraycopy(bytes, writeIndex, rest, unread, unwritten);
+        setArray(rest);
+        readIndex = 0;
+        readLimit = unread;
+        writeIndex = unread;
+        writeLimit = unread + unwritten;
+    }
+
     /** Drops the content, and gives the array back to the budget. */
     void release() {
         setArray(new byte[0]);
