Event loop: a failed task ends what it worked on, and the process ends with its I/O thread

Callers saw: no answer and no close on a connection whose event failed (OutOfMemoryError), and once a process that lived on without its I/O thread, served nothing and did not react to SIGTERM.

Cause: the task was given up and nothing else happened; the log call in the catch allocates, so a second OutOfMemoryError left the loop, past the flag that a batch is scheduled, or ended the thread.

Change: TaskIsolation closes the connection of a failed event, with memory kept back for that and for the line; failures of flushes and socket listeners are isolated too; a request on which the decisions fail is answered as failed; a periodic check schedules itself first. Where the loop can't go on, or one of XNIO's two threads ends, FatalExit ends the process with code 3 and one line that was encoded at the start. The log's thread outlives a failed line.

Seen failing before: DecisionFailureTest 2 of 2 (read timed out); EventLoopTest with a failure that can't be printed did not end (cut at 170 s). All pass now.

--- a/gateway/src/main/java/org/xnio/nio/SharedPort.java
+++ b/gateway/src/main/java/org/xnio/nio/SharedPort.java
@@ -58,6 +58,11 @@
         }
     }
 
+    /** The thread that accepts connections. */
+    public Thread acceptThread() {
+        return (WorkerThread) queuedServer.getAcceptThread();
+    }
+
     public void resumeAccepts() {
         queuedServer.resumeAccepts();
     }
--- a/gateway/src/main/java/tinford/logging/LineLogger.java
+++ b/gateway/src/main/java/tinford/logging/LineLogger.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.charset.Charset;
 import java.text.MessageFormat;
 import java.time.Instant;
 import java.util.ResourceBundle;
@@ -51,7 +52,17 @@
             thrown.printStackTrace(new PrintWriter(trace));
             line.append('\n').append(trace.toString().stripTrailing());
         }
-        LogWriter.offer(line.toString());
+        LogWriter.offer(line.append('\n').toString().getBytes(Charset.defaultCharset()));
+    }
+
+    /**
+     * Queues a line that is encoded already, for a caller that may have no memory left; never
+     * blocks.
+     *
+     * @param line with its end
+     */
+    public static void writeEncoded(byte[] line) {
+        LogWriter.offer(line);
     }
 
     /** Waits until all queued lines are written, but no longer than the timeout. */
--- a/gateway/src/main/java/tinford/logging/LogWriter.java
+++ b/gateway/src/main/java/tinford/logging/LogWriter.java
@@ -14,7 +14,7 @@
     private static final int QUEUE_CAPACITY = 256;
     private static final long THREAD_STACK_BYTES = 128 << 10;
     private static final long FLUSH_POLL_NANOS = 1_000_000;
-    private static final ArrayBlockingQueue<String> QUEUE =
+    private static final ArrayBlockingQueue<byte[]> QUEUE =
             new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private static final AtomicLong DROPPED = new AtomicLong();
 
@@ -29,7 +29,10 @@
 
     private LogWriter() {}
 
-    static void offer(String line) {
+    /**
+     * @param line encoded, with its end
+     */
+    static void offer(byte[] line) {
         UNWRITTEN.incrementAndGet();
         if (!QUEUE.offer(line)) {
             UNWRITTEN.decrementAndGet();
@@ -46,19 +49,30 @@
 
     private static void writeLines() {
         while (true) {
-            String line;
+            byte[] line;
             try {
                 line = QUEUE.take();
             } catch (InterruptedException e) {
                 return; // the JVM does not interrupt this thread
             }
-            long dropped = DROPPED.getAndSet(0);
-            if (dropped > 0) {
-                System.err.println(
-                        Instant.now() + " WARNING tinford.logging: lines dropped count=" + dropped);
+            try {
+                writeDropped();
+                System.err.write(line, 0, line.length);
+                System.err.flush();
+            } catch (RuntimeException | Error e) {
+                // The thread has to outlive a lack of memory: without it no line would follow.
+                DROPPED.incrementAndGet();
+            } finally {
+                UNWRITTEN.decrementAndGet();
             }
-            System.err.println(line);
-            UNWRITTEN.decrementAndGet();
+        }
+    }
+
+    private static void writeDropped() {
+        long dropped = DROPPED.getAndSet(0);
+        if (dropped > 0) {
+            System.err.println(
+                    Instant.now() + " WARNING tinford.logging: lines dropped count=" + dropped);
         }
     }
 }
--- a/gateway/src/main/java/tinford/program/GatewayProcess.java
+++ b/gateway/src/main/java/tinford/program/GatewayProcess.java
@@ -71,6 +71,7 @@
                         moduleFactory,
                         environment.get("TMPDIR"),
                         extension != null);
+        FatalExit.install(components.dispatcher.loop());
         ConfigurationReload reload =
                 new ConfigurationReload(json, path, configuration, modified, components);
         // both signals are handled from here on: either may come as soon as clients can connect
--- a/gateway/src/main/java/tinford/routing/OutcomeMapping.java
+++ b/gateway/src/main/java/tinford/routing/OutcomeMapping.java
@@ -20,7 +20,8 @@
                             PROTOCOL_ERROR,
                             BUFFER_LIMIT_EXCEEDED,
                             STALLED,
-                            CLOSED_IDLE ->
+                            CLOSED_IDLE,
+                            INTERNAL_ERROR ->
                     sent ? AttemptOutcome.CONNECTION_LOST : AttemptOutcome.UNREACHABLE;
             case RESPONSE_TIMEOUT -> sent ? AttemptOutcome.TIMED_OUT : AttemptOutcome.UNREACHABLE;
             case CANCELLED -> sent ? AttemptOutcome.CANCELLED : AttemptOutcome.NOT_SENT;
--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -107,12 +107,13 @@
     }
 
     private void checkConnections() {
+        context.loop()
+                .schedule(CHECK_INTERVAL_MS, this::checkConnections); // also if this one fails
         for (ClientConnection connection : new ArrayList<>(connections)) {
             connection.checkTimeouts(context.nowMs());
         }
         // Clients in the backlog are not accepted, so nothing else closes connections for them.
         shrinkTo(highWater());
-        context.loop().schedule(CHECK_INTERVAL_MS, this::checkConnections);
     }
 
     private void shrinkTo(int count) {
@@ -174,8 +175,13 @@
         openRequests.add(request);
         if (terminating || tooManyWaiting || openRequests.exceedLimits()) {
             reject(request, 0);
-        } else {
+            return;
+        }
+        try {
             context.events().requestArrived(request);
+        } catch (RuntimeException | Error e) {
+            context.loop().logFailure(e);
+            fail(request); // no decision would follow
         }
     }
 
--- a/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
+++ b/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
@@ -180,15 +180,20 @@
         if (outcome == AttemptOutcome.SUCCESS) {
             clients.finish(request);
         }
-        events.attemptEnded(
-                request,
-                attempt.number,
-                outcome,
-                nowMs - attempt.startedAtMs,
-                request.isFinished(),
-                meteredUse,
-                settledUnits,
-                loadReport);
+        try {
+            events.attemptEnded(
+                    request,
+                    attempt.number,
+                    outcome,
+                    nowMs - attempt.startedAtMs,
+                    request.isFinished(),
+                    meteredUse,
+                    settledUnits,
+                    loadReport);
+        } catch (RuntimeException | Error e) {
+            loop.logFailure(e);
+            clients.fail(request); // no decision would follow
+        }
     }
 
     @Override
--- a/gateway/src/main/java/tinford/transport/CloseReason.java
+++ b/gateway/src/main/java/tinford/transport/CloseReason.java
@@ -23,5 +23,7 @@
     /** Given up by this process while a request was in flight on it. */
     CANCELLED,
     /** Closed by this process while no request was in flight on it. */
-    CLOSED_IDLE
+    CLOSED_IDLE,
+    /** This process failed while it handled an event of the connection. */
+    INTERNAL_ERROR
 }
--- a/gateway/src/main/java/tinford/transport/Connection.java
+++ b/gateway/src/main/java/tinford/transport/Connection.java
@@ -142,6 +142,10 @@
             connection.getSourceChannel().suspendReads();
             fail(CloseReason.IO_ERROR);
             return false;
+        } catch (RuntimeException | Error e) {
+            connection.getSourceChannel().suspendReads();
+            loop.closeFailed(this, e);
+            return false;
         }
     }
 
@@ -175,7 +179,11 @@
 
     private void writable() {
         connection.getSinkChannel().suspendWrites();
-        flush();
+        try {
+            flush();
+        } catch (RuntimeException | Error e) {
+            loop.closeFailed(this, e);
+        }
     }
 
     /** What was put into the buffer is written at the end of this batch. */
@@ -239,8 +247,8 @@
 
     private void submitEvents() {
         if (!isSubmitted && !isClosed()) {
-            isSubmitted = true;
             loop.submit(this);
+            isSubmitted = true; // behind the call, which may fail for lack of memory
         }
     }
 
@@ -263,6 +271,12 @@
         }
     }
 
+    /** An event could not be handled: nothing may wait for this connection in vain. */
+    @Override
+    public final void abort() {
+        close(CloseReason.INTERNAL_ERROR);
+    }
+
     private boolean takeEvent(Event event) {
         return !isClosed() && pendingEvents.remove(event);
     }
@@ -370,10 +384,13 @@
         } else {
             new LingeringClose(loop, connection, this::lingeringCloseEnded).start();
         }
-        onClosed(reason);
-        buffer.release();
-        if (closesAtOnce) {
-            onDescriptorReleased();
+        try {
+            onClosed(reason);
+        } finally {
+            buffer.release();
+            if (closesAtOnce) {
+                onDescriptorReleased();
+            }
         }
     }
 
--- a/gateway/src/main/java/tinford/transport/EventLoop.java
+++ b/gateway/src/main/java/tinford/transport/EventLoop.java
@@ -1,7 +1,6 @@
 package tinford.transport;
 
 import java.io.IOException;
-import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -20,7 +19,6 @@
  * are flushed after the batch.
  */
 public final class EventLoop {
-    private static final System.Logger LOG = System.getLogger("tinford.transport");
     private static final double NANOS_PER_MS = 1e6;
 
     /** Some decades; longer delays from settings would overflow the clock. */
@@ -32,6 +30,9 @@
     /** Work for the I/O thread, run once within a batch. */
     public interface Task {
         void run();
+
+        /** Called when {@link #run} has thrown: ends what the task worked on. */
+        default void abort() {}
     }
 
     /** Runs one batch, by calling {@link #runDueTasks}. */
@@ -44,6 +45,8 @@
     final BufferBudget bufferBudget;
     final DescriptorBudget descriptorBudget;
     private final BatchHandler batchHandler;
+    private final Runnable batch = this::runBatch;
+    private final TaskIsolation isolation = new TaskIsolation();
     private final LongSupplier nanoClock;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final List<Task> submitted = new ArrayList<>();
@@ -53,6 +56,7 @@
     private long alarmNanos = NO_ALARM;
     private boolean isBatchScheduled;
     private boolean isClosed;
+    private volatile Thread.UncaughtExceptionHandler threadEndHandler;
 
     /** A scheduled task. */
     public static final class Timer implements Comparable<Timer> {
@@ -103,6 +107,20 @@
                 .getMap();
     }
 
+    /**
+     * Before any connection is open: sets what is called when a thread of this loop ends by a
+     * failure, or can't go on, so that nothing is served any more.
+     */
+    public void setThreadEndHandler(Thread.UncaughtExceptionHandler handler) {
+        threadEndHandler = handler;
+        thread.setUncaughtExceptionHandler(handler);
+    }
+
+    /** Null if none is set. */
+    Thread.UncaughtExceptionHandler threadEndHandler() {
+        return threadEndHandler;
+    }
+
     /** From any thread: submits the task on the I/O thread. */
     public void execute(Task task) {
         thread.execute(() -> submit(task));
@@ -129,7 +147,7 @@
         running.addAll(submitted);
         submitted.clear();
         for (int i = 0; i < running.size(); i++) {
-            runIsolated(running.get(i));
+            isolation.run(running.get(i));
         }
         running.clear();
     }
@@ -144,12 +162,25 @@
         }
     }
 
-    /** A failing task, also one that ran out of stack or memory, must not stop the others. */
-    private static void runIsolated(Task task) {
+    /** Within a batch: logs a failure whose consequences the caller sees to. */
+    public void logFailure(Throwable failure) {
+        isolation.logAndRestore(TaskIsolation.TASK_FAILED, failure);
+    }
+
+    /** Closes a connection of which an event could not be handled, with the next batch. */
+    void closeFailed(Connection connection, Throwable failure) {
         try {
-            task.run();
+            isolation.closeFailed(connection, failure);
+            scheduleBatch();
         } catch (RuntimeException | Error e) {
-            LOG.log(Level.ERROR, "task failed on the I/O thread", e);
+            reportThreadEnd(e);
+            throw e;
+        }
+    }
+
+    private void reportThreadEnd(Throwable failure) {
+        if (threadEndHandler != null) {
+            threadEndHandler.uncaughtException(thread, failure);
         }
     }
 
@@ -189,9 +220,16 @@
     }
 
     private void scheduleBatch() {
-        if (!isBatchScheduled && !isClosed) {
-            isBatchScheduled = true;
-            thread.execute(this::runBatch);
+        if (isBatchScheduled || isClosed) {
+            return;
+        }
+        // Before the call: while the process starts it comes from another thread.
+        isBatchScheduled = true;
+        try {
+            thread.execute(batch);
+        } catch (RuntimeException | Error e) {
+            isBatchScheduled = false;
+            throw e;
         }
     }
 
@@ -202,17 +240,36 @@
         try {
             batchHandler.run();
         } catch (RuntimeException | Error e) {
-            LOG.log(Level.ERROR, "batch failed on the I/O thread", e);
+            isolation.logAndRestore(TaskIsolation.BATCH_FAILED, e);
         }
+        flushAll();
+        scheduleNext();
+    }
+
+    private void flushAll() {
         for (int i = 0; i < unflushed.size(); i++) {
-            unflushed.get(i).flush();
+            Connection connection = unflushed.get(i);
+            try {
+                connection.flush();
+            } catch (RuntimeException | Error e) {
+                isolation.closeFailed(connection, e);
+            }
         }
         unflushed.clear();
-        isBatchScheduled = false;
-        if (!submitted.isEmpty()) {
-            scheduleBatch();
+    }
+
+    /** Without a next batch or an alarm the thread would sleep on with work to do. */
+    private void scheduleNext() {
+        try {
+            isBatchScheduled = false;
+            if (!submitted.isEmpty()) {
+                scheduleBatch();
+            }
+            setAlarm();
+        } catch (RuntimeException | Error e) {
+            reportThreadEnd(e);
+            throw e;
         }
-        setAlarm();
     }
 
     /** Wakes the thread up for the next timer; needless wake-ups are avoided, as they cost time. */
--- a/gateway/src/main/java/tinford/transport/Listener.java
+++ b/gateway/src/main/java/tinford/transport/Listener.java
@@ -34,6 +34,9 @@
         port =
                 SharedPort.open(
                         loop.worker, address, shared, options(maxConnections), this::acceptAll);
+        if (loop.threadEndHandler() != null) {
+            port.acceptThread().setUncaughtExceptionHandler(loop.threadEndHandler());
+        }
         port.resumeAccepts();
     }
 
--- /dev/null
+++ b/gateway/src/test/java/tinford/routing/client/DecisionFailureTest.java
@@ -0,0 +1,42 @@
+package tinford.routing.client;
+
+import static org.testng.Assert.assertEquals;
+import static tinford.api.AttemptOutcome.CONNECTION_LOST;
+import static tinford.routing.RoutingFixtures.ABORTED;
+import static tinford.routing.RoutingFixtures.read;
+import static tinford.routing.RoutingFixtures.write;
+
+import java.net.Socket;
+import org.testng.annotations.Test;
+
+/** Requests get their final answer where the decision module fails. */
+public class DecisionFailureTest extends ForwardingFixture {
+    /** Guards against a request that was read and is never answered. */
+    @Test
+    public void requestThatIsNotDecidedOnIsAnsweredAsFailed() throws Exception {
+        arrivalFailure = new OutOfMemoryError();
+        Socket client = connect();
+        write(client, ask(1));
+        assertEquals(read(client, ABORTED.length()), ABORTED);
+        arrivalFailure = null;
+        write(client, ask(2));
+        assertEquals(nextEvent(), "arrived");
+        assertEquals(nextEvent(), "arrived");
+    }
+
+    /** Guards against a request whose only attempt has ended without a decision on what follows. */
+    @Test
+    public void requestWhoseAttemptEndsWithoutADecisionIsAnsweredAsFailed() throws Exception {
+        forwards = true;
+        useSlowServer();
+        attemptEndFailure = new OutOfMemoryError();
+        Socket client = connect();
+        write(client, ask(1));
+        Socket server = acceptAtSlowServer();
+        read(server, ask(1).length());
+        server.close();
+        assertEquals(read(client, ABORTED.length()), ABORTED);
+        assertEquals(nextEvent(), "arrived");
+        assertEquals(nextEvent(), ended(CONNECTION_LOST));
+    }
+}
--- a/gateway/src/test/java/tinford/routing/client/ForwardingFixture.java
+++ b/gateway/src/test/java/tinford/routing/client/ForwardingFixture.java
@@ -59,6 +59,12 @@
     /** Whether each request is sent to the first server. */
     volatile boolean forwards;
 
+    /** What the decision module fails with as a request arrives, or null. */
+    volatile Error arrivalFailure;
+
+    /** What the decision module fails with as an attempt ends, or null. */
+    volatile Error attemptEndFailure;
+
     /** Whether the events say if the client of a request is seen to be gone as it arrives. */
     volatile boolean checksClients;
 
@@ -66,6 +72,8 @@
     public void start() throws Exception {
         forwards = false;
         checksClients = false;
+        arrivalFailure = null;
+        attemptEndFailure = null;
         sendWithinMs = Double.POSITIVE_INFINITY;
         events.clear();
         fullServer = fullServer(open);
@@ -121,6 +129,9 @@
         @Override
         public void requestArrived(Request request) {
             events.add(checksClients ? "arrived " + request.id + clientState(request) : "arrived");
+            if (arrivalFailure != null) {
+                throw arrivalFailure;
+            }
             if (forwards) {
                 actions.sendAttempt(request, firstServer, 0, sendWithinMs);
             }
@@ -146,6 +157,9 @@
                 double settledUnits,
                 double[] loadReport) {
             events.add(ended(outcome));
+            if (attemptEndFailure != null) {
+                throw attemptEndFailure;
+            }
         }
     }
 
--- a/gateway/src/test/java/tinford/transport/EventLoopTest.java
+++ b/gateway/src/test/java/tinford/transport/EventLoopTest.java
@@ -1,18 +1,37 @@
 package tinford.transport;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import tinford.testing.FreePort;
 
 /** The isolation of tasks from one another. */
 public class EventLoopTest {
+    /** Nothing can be told of it: what would print it fails in its turn. */
+    private static final class UnprintableError extends OutOfMemoryError {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        public String toString() {
+            throw new OutOfMemoryError();
+        }
+    }
+
     @DataProvider
     public Object[][] faults() {
         return new Object[][] {
-            {new IllegalStateException()}, {new StackOverflowError()}, {new OutOfMemoryError()}
+            {new IllegalStateException()},
+            {new StackOverflowError()},
+            {new OutOfMemoryError()},
+            {new UnprintableError()}
         };
     }
 
@@ -40,4 +59,62 @@
         assertTrue(later.await(10, TimeUnit.SECONDS), "a later task");
         loop[0].close();
     }
+
+    /** Guards against a process that lives on, and serves no one, without its I/O thread. */
+    @Test
+    public void endOfTheThreadIsReported() throws Exception {
+        EventLoop loop = new EventLoop(() -> {}, 4, 1 << 16, System::nanoTime);
+        CompletableFuture<Thread> ended = new CompletableFuture<>();
+        loop.setThreadEndHandler((thread, failure) -> ended.complete(thread));
+        loop.thread.execute(
+                () -> {
+                    throw new UnprintableError(); // XNIO's own attempt to log it ends the thread
+                });
+        assertSame(ended.get(10, TimeUnit.SECONDS), loop.thread);
+        loop.close();
+    }
+
+    /** Guards against a client that waits for an answer on a connection that was given up. */
+    @Test(dataProvider = "faults")
+    public void connectionWhoseEventFailsIsClosed(Throwable fault) throws Exception {
+        EventLoop[] loop = new EventLoop[1];
+        loop[0] = new EventLoop(() -> loop[0].runDueTasks(), 4, 1 << 16, System::nanoTime);
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", FreePort.find());
+        new Listener(loop[0], address, false, 4, () -> new FailingConnection(loop[0], fault));
+        try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+            client.setSoTimeout(10_000);
+            client.getOutputStream().write('x');
+            assertEquals(client.getInputStream().read(), -1);
+        }
+        assertEquals(loop[0].bufferBudget().availableBytes(), 1 << 16);
+        loop[0].close();
+    }
+
+    private static final class FailingConnection extends Connection {
+        private final Throwable fault;
+
+        FailingConnection(EventLoop loop, Throwable fault) {
+            super(loop, 100, 100);
+            this.fault = fault;
+        }
+
+        @Override
+        protected DescriptorBudget.PeerKind party() {
+            return DescriptorBudget.PeerKind.CLIENTS;
+        }
+
+        @Override
+        protected void onOpened() {}
+
+        @Override
+        protected void onReceived() {
+            if (fault instanceof Error e) {
+                throw e;
+            }
+            throw (RuntimeException) fault;
+        }
+
+        @Override
+        protected void onClosed(CloseReason reason) {}
+    }
 }
