Restart: the listener outlives the last client that comes; a close travels with its response

Traced (time of accept, read, end of sending, close, end of the listener, and the clients' own times), two ways: a connection that the system had accepted was reset, as the listener closed 8 to 10 ms after it was told to; and a client that had its response wrote its next request 1 to 2 ms later, before the end of the connection reached it, with the listener gone.

Change: the listener stays until no client has come, or had to come again, for 100 ms, 1 s after SIGTERM at most; clients that come again keep their connection until then, so that few connect while it closes; its socket closes right behind the last accept. The last byte of a response is held back by the system and leaves together with the end of the sending. Idle connections end after 50 ms without a request once the listener is gone. The last answers are due as early as before.

--- a/gateway/src/main/java/org/xnio/nio/SharedPort.java
+++ b/gateway/src/main/java/org/xnio/nio/SharedPort.java
@@ -20,8 +20,11 @@
 public final class SharedPort {
     private final NioTcpServer tcpServer;
     private final QueuedNioTcpServer2 queuedServer;
+    private final ServerSocketChannel channel;
 
-    private SharedPort(NioTcpServer tcpServer, QueuedNioTcpServer2 queuedServer) {
+    private SharedPort(
+            NioTcpServer tcpServer, QueuedNioTcpServer2 queuedServer, ServerSocketChannel channel) {
+        this.channel = channel;
         this.tcpServer = tcpServer;
         this.queuedServer = queuedServer;
     }
@@ -50,7 +53,7 @@
             QueuedNioTcpServer2 queuedServer = new QueuedNioTcpServer2(tcpServer);
             queuedServer.setAcceptListener(listener);
             opened = true;
-            return new SharedPort(tcpServer, queuedServer);
+            return new SharedPort(tcpServer, queuedServer, channel);
         } finally {
             if (!opened) {
                 IoUtils.safeClose(channel);
@@ -79,6 +82,8 @@
                         () -> {
                             deregister();
                             queuedServer.handleReady();
+                            // at once: what connects between these two calls is reset
+                            IoUtils.safeClose(channel);
                             IoUtils.safeClose(queuedServer);
                             then.run();
                         });
--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -22,12 +22,20 @@
     /** From SIGTERM on, a process without a successor serves as before for so long. */
     private static final double SERVE_AFTER_SIGTERM_MS = 450;
 
-    /** The listener outlives the idle connections, for clients that connect again. */
-    private static final double LISTEN_AFTER_CLOSE_MS = 100;
+    /** The listener outlives the idle connections, and the last client to connect, by so long. */
+    private static final double LISTEN_AFTER_ARRIVAL_MS = 100;
+
+    /** From SIGTERM on, the listener stays so long at most, however many clients connect. */
+    private static final double LISTEN_AFTER_SIGTERM_MS = 1000;
+
+    private static final double LISTEN_POLL_MS = 10;
 
     /** From SIGTERM on, connections that bring no request are kept for so long. */
     private static final double KEEP_IDLE_AFTER_SIGTERM_MS = 650;
 
+    /** Connections accepted last are kept for so long. */
+    private static final double KEEP_IDLE_AFTER_LISTENING_MS = 100;
+
     private static final double TAKEOVER_POLL_MS = 10;
     private static final double ANNOUNCE_POLL_MS = 5;
     private static final double EXIT_POLL_MS = 100;
@@ -236,11 +244,22 @@
             adminApi.startDraining();
         }
         clients.closeIdleConnections();
-        dispatcher
-                .loop()
-                .schedule(
-                        LISTEN_AFTER_CLOSE_MS,
-                        () -> clients.stopAccepting(remainingIdleMs(), drained::countDown));
+        dispatcher.loop().schedule(LISTEN_AFTER_ARRIVAL_MS, () -> stopListening(drained));
+    }
+
+    /**
+     * Closes the listener once no client connects any more: one whose request crossed the end of
+     * its connection has to come again, and one that connects right now may be reset.
+     */
+    private void stopListening(CountDownLatch drained) {
+        if (clients.sinceLastArrivalMs() < LISTEN_AFTER_ARRIVAL_MS
+                && sinceDrainStartedMs() < LISTEN_AFTER_SIGTERM_MS) {
+            dispatcher.loop().schedule(LISTEN_POLL_MS, () -> stopListening(drained));
+            return;
+        }
+        double graceMs = Math.max(remainingIdleMs(), KEEP_IDLE_AFTER_LISTENING_MS);
+        double lateMs = sinceDrainStartedMs() + graceMs - KEEP_IDLE_AFTER_SIGTERM_MS;
+        clients.stopAccepting(graceMs, lateMs, drained::countDown);
     }
 
     private double remainingIdleMs() {
--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -48,7 +48,17 @@
     /** Since when a command has arrived in part, or 0. */
     private double partialSinceMs;
 
+    /** Whether it was accepted while the process drained, for a client that had to come again. */
+    private final boolean acceptedWhileDraining;
+
     private boolean commandSeen;
+
+    /**
+     * Whether it has had a response. From the second one on the end of the connection arrives
+     * together with the response: the first one is acknowledged at once, see {@link Connection}.
+     */
+    private boolean hasAnswered;
+
     private double lastUseMs;
 
     ClientConnection(ClientPool pool) {
@@ -56,6 +66,7 @@
         this.pool = pool;
         this.responses = new ResponseQueue(pool, buffer);
         this.lastUseMs = pool.context.nowMs();
+        this.acceptedWhileDraining = pool.isDraining();
     }
 
     private boolean isIdle() {
@@ -368,10 +379,13 @@
         lastUseMs = pool.context.nowMs();
         scheduleFlush();
         resumeSource();
-        // A client that has just read a response is not about to write.
-        if (pool.isDraining() && pendingClose == null) {
+        boolean staysOpen = acceptedWhileDraining && !hasAnswered;
+        if (pendingClose == null
+                && !staysOpen
+                && pool.closesBehindResponse(acceptedWhileDraining)) {
             pendingClose = CloseReason.CLOSED_IDLE;
         }
+        hasAnswered = true;
         closeIfAnswered();
     }
 
@@ -391,6 +405,21 @@
         setPendingClose(CloseReason.CLOSED_IDLE);
     }
 
+    /**
+     * Closes it if it has brought nothing for that time. A client that has just read a response may
+     * be about to write: its connection ends together with its next response.
+     */
+    void closeIfIdleFor(double quietMs) {
+        if (pendingClose == null && isIdle() && pool.context.nowMs() - lastUseMs >= quietMs) {
+            closeWhenAnswered();
+        }
+    }
+
+    @Override
+    protected void onLateInput() {
+        pool.clientExpected();
+    }
+
     /** The first reason counts: behind a malformed command nothing is to be read. */
     private void setPendingClose(CloseReason reason) {
         if (pendingClose == null) {
--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -28,6 +28,11 @@
     /** After the longest client time-out no client waits for an answer any more. */
     private static final double FINAL_ANSWER_GRACE_MS = 20;
 
+    /** Connections that have brought nothing for so long end between requests. */
+    private static final double MIN_IDLE_BEFORE_CLOSE_MS = 50;
+
+    private static final double CLOSE_IDLE_INTERVAL_MS = 10;
+
     /** Time to read the last responses. */
     private static final double FINAL_READ_MS = 20;
 
@@ -42,8 +47,12 @@
     private Listener listener;
     private Runnable onAllClosed;
     private boolean draining;
+    private boolean accepting;
     private boolean terminating;
 
+    /** When a client last connected, or was seen to have to connect again. */
+    private double lastArrivalMs;
+
     /**
      * @param catalog in force until another one comes
      */
@@ -69,6 +78,7 @@
      */
     public void listen(InetSocketAddress address, boolean shared) throws IOException {
         checkConnections();
+        accepting = true;
         listener =
                 new Listener(
                         context.loop(), address, shared, limits.maxConnections(), this::accept);
@@ -80,6 +90,7 @@
      * idle ones are closed for a new one.
      */
     private ClientConnection accept() {
+        lastArrivalMs = context.nowMs();
         if (connections.size() >= Math.min(limits.reclaimThreshold(), highWater())) {
             reclaimConnections(
                     connections.size() >= highWater()
@@ -238,11 +249,29 @@
         }
     }
 
-    /** Whether each connection is to end behind its next response. */
     boolean isDraining() {
         return draining;
     }
 
+    /**
+     * Whether a connection is to end behind its next response. One that came while the process
+     * drained stays as long as clients can connect: else its client would come again and again, and
+     * be among those that the end of the listener may reset.
+     */
+    boolean closesBehindResponse(boolean acceptedWhileDraining) {
+        return draining && !(accepting && acceptedWhileDraining);
+    }
+
+    /** A request crossed the close of its connection: its client is to connect again. */
+    void clientExpected() {
+        lastArrivalMs = context.nowMs();
+    }
+
+    /** Within a batch: for how long no client has connected, or had to connect again. */
+    public double sinceLastArrivalMs() {
+        return context.nowMs() - lastArrivalMs;
+    }
+
     /**
      * Within a batch: another process of this gateway accepts clients, so this one stops. Each
      * connection ends right behind its next response, when its client is not about to write; the
@@ -277,6 +306,16 @@
      * @param onDone called once all connections are closed
      */
     public void stopAccepting(double graceMs, Runnable onDone) {
+        stopAccepting(graceMs, 0, onDone);
+    }
+
+    /**
+     * As the other method.
+     *
+     * @param lateMs by how much the end of the grace period is later than planned, and the last
+     *     answers are to be given sooner after it
+     */
+    public void stopAccepting(double graceMs, double lateMs, Runnable onDone) {
         // Connections that the system accepted last may be taken over only after the grace period.
         EventLoop.Task closeAfterBoth =
                 new EventLoop.Task() {
@@ -286,27 +325,40 @@
                     public void run() {
                         runs++;
                         if (runs == 2) {
-                            closeWhenAnswered(onDone);
+                            closeWhenAnswered(lateMs, onDone);
                         }
                     }
                 };
+        accepting = false;
         listener.closeAfterAccepting(closeAfterBoth);
         context.loop().schedule(graceMs, closeAfterBoth);
     }
 
     /** Each connection ends once all on it is answered, and for lack of time in any case. */
     void closeWhenAnswered(Runnable onDone) {
+        closeWhenAnswered(0, onDone);
+    }
+
+    private void closeWhenAnswered(double lateMs, Runnable onDone) {
+        draining = true;
         onAllClosed = onDone;
-        for (ClientConnection connection : new ArrayList<>(connections)) {
-            connection.closeWhenAnswered();
-        }
+        closeIdle();
         if (connections.isEmpty()) {
             context.loop().submit(onDone::run);
         }
-        double maxWaitMs = Math.min(requestFactory.longestTimeoutMs(), MAX_FINAL_WAIT_MS);
+        double maxWaitMs = Math.min(requestFactory.longestTimeoutMs(), MAX_FINAL_WAIT_MS) - lateMs;
         context.loop().schedule(maxWaitMs + FINAL_ANSWER_GRACE_MS, () -> terminate(onDone));
     }
 
+    private void closeIdle() {
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            connection.closeIfIdleFor(MIN_IDLE_BEFORE_CLOSE_MS);
+        }
+        if (!connections.isEmpty()) {
+            context.loop().schedule(CLOSE_IDLE_INTERVAL_MS, this::closeIdle);
+        }
+    }
+
     /**
      * Ends the process in time where clients neither read nor close, so that it is not killed with
      * requests unanswered: open ones are answered now, and those read from now on rejected.
--- a/gateway/src/main/java/tinford/transport/Connection.java
+++ b/gateway/src/main/java/tinford/transport/Connection.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.EnumSet;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 
 /**
@@ -64,6 +65,9 @@
     /** Bytes were received; those that are not consumed stay in the buffer. */
     protected abstract void onReceived();
 
+    /** Bytes came after the end of the sending, and are dropped: they crossed that end. */
+    protected void onLateInput() {}
+
     /** No more bytes are unwritten than {@link #awaitDrain} asked for. */
     protected void onDrained() {}
 
@@ -200,6 +204,7 @@
             return;
         }
         try {
+            holdBackLastByte();
             buffer.write(connection.getSinkChannel().getConduit());
             if (buffer.unwrittenBytes() <= awaitedUnwrittenBytes) {
                 awaitedUnwrittenBytes = NOT_AWAITED;
@@ -218,6 +223,21 @@
         }
     }
 
+    /**
+     * The last byte before the end of the sending is to arrive together with that end: a peer that
+     * has everything might write its next command before it learns of the end. So the byte is
+     * written on its own, which the system holds back while the bytes before it are not
+     * acknowledged, and the end of the sending pushes both out.
+     */
+    private void holdBackLastByte() throws IOException {
+        if (gracefulClose.isActive()
+                && state == ConnectionState.OPEN
+                && buffer.unwrittenBytes() > 1) {
+            connection.setOption(Options.TCP_NODELAY, false);
+            buffer.writeAllButLast(connection.getSinkChannel().getConduit());
+        }
+    }
+
     private boolean hasFlushWork() {
         return buffer.unwrittenBytes() > 0
                 || gracefulClose.isActive()
@@ -231,6 +251,7 @@
     private void halfClose() throws IOException {
         if (gracefulClose.yieldsToInput() && !isQuiet()) {
             gracefulClose.callOff();
+            connection.setOption(Options.TCP_NODELAY, true); // sends what was held back
             return;
         }
         state = ConnectionState.HALF_CLOSED;
@@ -287,6 +308,7 @@
         }
         if (gracefulClose.isActive()) {
             buffer.consume(buffer.unreadBytes());
+            onLateInput();
         } else {
             onReceived();
         }
--- a/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
+++ b/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
@@ -94,16 +94,28 @@
 
     /** Writes until nothing is left or the socket takes no more. */
     void write(StreamSinkConduit sink) throws IOException {
-        while (writeIndex < writeLimit) {
-            view.limit(writeLimit).position(writeIndex);
+        if (writeUpTo(writeLimit, sink)) {
+            resetWritePart();
+            releaseIfLargeAndEmpty();
+        }
+    }
+
+    /** As {@link #write}, but leaves the last byte, for a write of its own. */
+    void writeAllButLast(StreamSinkConduit sink) throws IOException {
+        writeUpTo(writeLimit - 1, sink);
+    }
+
+    /** False if the socket takes no more before that. */
+    private boolean writeUpTo(int limit, StreamSinkConduit sink) throws IOException {
+        while (writeIndex < limit) {
+            view.limit(limit).position(writeIndex);
             int written = sink.write(view);
             if (written <= 0) {
-                return;
+                return false;
             }
             writeIndex += written;
         }
-        resetWritePart();
-        releaseIfLargeAndEmpty();
+        return true;
     }
 
     private void resetWritePart() {
--- a/gateway/src/test/java/tinford/transport/EventLoopTest.java
+++ b/gateway/src/test/java/tinford/transport/EventLoopTest.java
@@ -71,7 +71,7 @@
                     throw new UnprintableError(); // XNIO's own attempt to log it ends the thread
                 });
         assertSame(ended.get(10, TimeUnit.SECONDS), loop.thread);
-        loop.close();
+        loop.worker.shutdownNow(); // the other thread
     }
 
     /** Guards against a client that waits for an answer on a connection that was given up. */
