Event loop tests: faults by name, as a report prints a test's parameters

With faults passed by name the code before fails 5 of 8 cases: connectionWhoseEventFailsIsClosed with each fault (read timed out), failingTaskStopsNoOther with a failure that can't be printed (the task of the same batch does not run).

--- a/gateway/src/test/java/tinford/transport/EventLoopTest.java
+++ b/gateway/src/test/java/tinford/transport/EventLoopTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import tinford.testing.FreePort;
@@ -25,32 +26,40 @@
         }
     }
 
+    /** Named, as a test's parameters are printed. */
+    private enum Fault {
+        ILLEGAL_STATE,
+        STACK_OVERFLOW,
+        OUT_OF_MEMORY,
+        UNPRINTABLE;
+
+        void raise() {
+            switch (this) {
+                case ILLEGAL_STATE -> throw new IllegalStateException();
+                case STACK_OVERFLOW -> throw new StackOverflowError();
+                case OUT_OF_MEMORY -> throw new OutOfMemoryError();
+                default -> throw new UnprintableError();
+            }
+        }
+    }
+
     @DataProvider
     public Object[][] faults() {
-        return new Object[][] {
-            {new IllegalStateException()},
-            {new StackOverflowError()},
-            {new OutOfMemoryError()},
-            {new UnprintableError()}
-        };
+        return Stream.of(Fault.values())
+                .map(fault -> new Object[] {fault})
+                .toArray(Object[][]::new);
     }
 
     /** Tasks of the same batch and of later ones run. */
     @Test(dataProvider = "faults")
-    public void failingTaskStopsNoOther(Throwable fault) throws Exception {
+    public void failingTaskStopsNoOther(Fault fault) throws Exception {
         EventLoop[] loop = new EventLoop[1];
         loop[0] = new EventLoop(() -> loop[0].runDueTasks(), 4, 1 << 16, System::nanoTime);
         CountDownLatch beside = new CountDownLatch(1);
         CountDownLatch later = new CountDownLatch(1);
         loop[0].execute(
                 () -> {
-                    loop[0].submit(
-                            () -> {
-                                if (fault instanceof Error e) {
-                                    throw e;
-                                }
-                                throw (RuntimeException) fault;
-                            });
+                    loop[0].submit(fault::raise);
                     loop[0].submit(beside::countDown);
                 });
         assertTrue(beside.await(10, TimeUnit.SECONDS), "the task of the same batch");
@@ -76,7 +85,7 @@
 
     /** Guards against a client that waits for an answer on a connection that was given up. */
     @Test(dataProvider = "faults")
-    public void connectionWhoseEventFailsIsClosed(Throwable fault) throws Exception {
+    public void connectionWhoseEventFailsIsClosed(Fault fault) throws Exception {
         EventLoop[] loop = new EventLoop[1];
         loop[0] = new EventLoop(() -> loop[0].runDueTasks(), 4, 1 << 16, System::nanoTime);
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", FreePort.find());
@@ -86,14 +95,16 @@
             client.getOutputStream().write('x');
             assertEquals(client.getInputStream().read(), -1);
         }
-        assertEquals(loop[0].bufferBudget().availableBytes(), 1 << 16);
+        CompletableFuture<Long> availableBytes = new CompletableFuture<>();
+        loop[0].execute(() -> availableBytes.complete(loop[0].bufferBudget.availableBytes()));
+        assertEquals(availableBytes.get(10, TimeUnit.SECONDS).longValue(), 1 << 16);
         loop[0].close();
     }
 
     private static final class FailingConnection extends Connection {
-        private final Throwable fault;
+        private final Fault fault;
 
-        FailingConnection(EventLoop loop, Throwable fault) {
+        FailingConnection(EventLoop loop, Fault fault) {
             super(loop, 100, 100);
             this.fault = fault;
         }
@@ -108,10 +119,7 @@
 
         @Override
         protected void onReceived() {
-            if (fault instanceof Error e) {
-                throw e;
-            }
-            throw (RuntimeException) fault;
+            fault.raise();
         }
 
         @Override
