Log: an append whose connection to the leader was found closed is repeated

Operators saw: enter fails with 'append at m3 failed: AlreadyClosedException' though all members are well, after one was restarted. Cause: the RPC client's connection to a member that was closed and started again is found closed at the next append, and only answers of the leader were repeated. Change: it is connected anew and the append repeated within its time, under the same call id, by which the library applies it once. ConfigurationClient and the followers speak HTTP and connect anew for each call; nothing to mend there, by reading.

--- a/fleet/src/main/java/tinford/fleet/store/RatisAppender.java
+++ b/fleet/src/main/java/tinford/fleet/store/RatisAppender.java
@@ -22,6 +22,7 @@
 import org.apache.ratis.protocol.RaftClientRequest;
 import org.apache.ratis.protocol.RaftPeer;
 import org.apache.ratis.protocol.RaftPeerId;
+import org.apache.ratis.protocol.exceptions.AlreadyClosedException;
 import org.apache.ratis.protocol.exceptions.LeaderNotReadyException;
 import org.apache.ratis.protocol.exceptions.NotLeaderException;
 import org.apache.ratis.rpc.RpcType;
@@ -117,8 +118,9 @@
     }
 
     /**
-     * One append. Its attempts carry one call id, by which the library appends it once; an attempt
-     * is repeated only where the one before surely had no effect.
+     * One append. Its attempts carry one call id, by which the library appends it once. An attempt
+     * is repeated where the one before surely had no effect, or where the connection to the leader
+     * was found closed, as that to a member that was restarted is.
      */
     private record Append(long callId, Message message, CompletableFuture<Long> result) {}
 
@@ -171,13 +173,16 @@
         Throwable cause = unwrap(failure != null ? failure : reply.getException());
         if (cause == null) {
             append.result.complete(reply.getLogIndex());
-        } else if (cause instanceof NotLeaderException
-                || cause instanceof LeaderNotReadyException) {
+            return;
+        }
+        boolean answeredByLeader =
+                cause instanceof NotLeaderException || cause instanceof LeaderNotReadyException;
+        if (!answeredByLeader && !isSelf(leader) && !closed) {
+            rpc.handleException(leader, cause, true); // connects anew
+        }
+        if (answeredByLeader || cause instanceof AlreadyClosedException) {
             schedule(append, RETRY_INTERVAL_MS);
         } else {
-            if (!isSelf(leader) && !closed) {
-                rpc.handleException(leader, cause, true);
-            }
             append.result.completeExceptionally(LogAppendException.failedAt(leader, cause));
         }
     }
