Log: a member that the library has ended is started anew, and status says so

Operators saw: nothing. A control server stayed a voter by name alone, and the next loss of a member would have stopped all changes: RaftLogTest, 'members differ' for 30 s.

Change: MemberSupervisor watches the division, logs 'log member ended, restarting' with the cause at WARNING, and starts the member anew on its folder with a backoff; what the state machine has applied is not applied again (AppliedState). A member that rejoins has an election timeout longer than any rejoin, and is restarted as a voter once it counts. GET /status has logRunning and logRestarts, the status command prints them; SEVERE lines of the library are passed on. RaftLog is split into RatisMember (one incarnation) and the supervisor. A failed case of RaftLogTest gets a new cluster for the next one.

--- a/fleet/src/main/java/tinford/fleet/control/ControlRole.java
+++ b/fleet/src/main/java/tinford/fleet/control/ControlRole.java
@@ -17,6 +17,16 @@
     /** The highest term that this server knows; 0 for a replica. */
     long term();
 
+    /** Whether this server takes part in the voters' log; a replica, which has none, does. */
+    default boolean isLogRunning() {
+        return true;
+    }
+
+    /** How often this server's member of the log was started anew after a failure. */
+    default int logRestarts() {
+        return 0;
+    }
+
     @Override
     void close();
 }
--- a/fleet/src/main/java/tinford/fleet/control/FleetStatus.java
+++ b/fleet/src/main/java/tinford/fleet/control/FleetStatus.java
@@ -19,6 +19,8 @@
      * One control server.
      *
      * @param failure why it was not reached; null if it was
+     * @param isLogRunning whether it takes part in the voters' log
+     * @param logRestarts how often its member of the log was started anew
      */
     record Server(
             InetSocketAddress address,
@@ -27,6 +29,8 @@
             String region,
             String role,
             boolean isLeader,
+            boolean isLogRunning,
+            int logRestarts,
             long revision,
             int followers,
             long pendingBytes) {}
@@ -58,7 +62,7 @@
     }
 
     private static Server unreachable(InetSocketAddress address, IOException failure) {
-        return new Server(address, failure.toString(), "", "", "", false, 0, 0, 0);
+        return new Server(address, failure.toString(), "", "", "", false, false, 0, 0, 0, 0);
     }
 
     private void addServer(InetSocketAddress address, JsonNode body) {
@@ -70,6 +74,8 @@
                         body.path("region").asText(),
                         body.path("role").asText(),
                         body.path("leads").asBoolean(),
+                        body.path("logRunning").asBoolean(true), // absent from an earlier version
+                        body.path("logRestarts").asInt(),
                         body.path("revision").asLong(),
                         body.path("followers").asInt(),
                         body.path("pendingBytes").asLong()));
@@ -114,10 +120,14 @@
         return servers.stream().mapToLong(Server::revision).max().orElse(0);
     }
 
-    /** Servers that were not reached or have an earlier revision. */
+    /** Servers that were not reached, are out of the voters' log or have an earlier revision. */
     List<Server> laggingServers() {
         return servers.stream()
-                .filter(server -> server.failure() != null || server.revision() < revision())
+                .filter(
+                        server ->
+                                server.failure() != null
+                                        || !server.isLogRunning()
+                                        || server.revision() < revision())
                 .toList();
     }
 
--- a/fleet/src/main/java/tinford/fleet/control/StatusCommand.java
+++ b/fleet/src/main/java/tinford/fleet/control/StatusCommand.java
@@ -91,16 +91,24 @@
                     server.address().getHostString(), server.address().getPort(), server.failure());
         }
         return String.format(
-                "server %s %s %s%s revision %d followers %d pending %d bytes",
+                "server %s %s %s%s%s revision %d followers %d pending %d bytes",
                 server.name(),
                 server.region(),
                 server.role(),
                 server.isLeader() ? " leads" : "",
+                logState(server),
                 server.revision(),
                 server.followers(),
                 server.pendingBytes());
     }
 
+    private static String logState(FleetStatus.Server server) {
+        if (!server.isLogRunning()) {
+            return " log restarting";
+        }
+        return server.logRestarts() > 0 ? " log restarts " + server.logRestarts() : "";
+    }
+
     private static String line(FleetStatus.Follower follower) {
         return String.format(
                 "lagging %s %s revision %d, heard %.1f s ago%s",
--- a/fleet/src/main/java/tinford/fleet/control/StatusHandler.java
+++ b/fleet/src/main/java/tinford/fleet/control/StatusHandler.java
@@ -30,6 +30,8 @@
                         .put("role", settings.role().name().toLowerCase(Locale.ROOT))
                         .put("leads", role.isLeader())
                         .put("term", role.term())
+                        .put("logRunning", role.isLogRunning())
+                        .put("logRestarts", role.logRestarts())
                         .put("revision", feed.current().revision())
                         .put("oldestRetained", feed.oldestRetained())
                         .put("followers", hub.size())
--- a/fleet/src/main/java/tinford/fleet/control/Voter.java
+++ b/fleet/src/main/java/tinford/fleet/control/Voter.java
@@ -112,6 +112,16 @@
         return log.term();
     }
 
+    @Override
+    public boolean isLogRunning() {
+        return log.isRunning();
+    }
+
+    @Override
+    public int logRestarts() {
+        return log.restarts();
+    }
+
     @Override
     public void close() {
         log.close();
--- a/fleet/src/main/java/tinford/fleet/store/LogAppendException.java
+++ b/fleet/src/main/java/tinford/fleet/store/LogAppendException.java
@@ -14,6 +14,10 @@
         return new LogAppendException("closed", null);
     }
 
+    static LogAppendException restarting() {
+        return new LogAppendException("this member is being restarted", null);
+    }
+
     static LogAppendException tooLarge(int bytes, int maxBytes) {
         return new LogAppendException(
                 "entry of " + bytes + " bytes, expected at most " + maxBytes, null);
--- a/fleet/src/main/java/tinford/fleet/store/RaftLog.java
+++ b/fleet/src/main/java/tinford/fleet/store/RaftLog.java
@@ -1,28 +1,15 @@
 package tinford.fleet.store;
 
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import java.util.SortedMap;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.ratis.conf.Parameters;
-import org.apache.ratis.conf.RaftProperties;
-import org.apache.ratis.protocol.RaftGroup;
-import org.apache.ratis.protocol.RaftGroupId;
-import org.apache.ratis.protocol.RaftPeer;
-import org.apache.ratis.protocol.RaftPeerId;
 import org.apache.ratis.rpc.RpcType;
 import org.apache.ratis.rpc.SupportedRpcType;
-import org.apache.ratis.server.RaftServer;
-import org.apache.ratis.server.storage.RaftStorage.StartupOption;
 
 /**
  * A replicated log by Apache Ratis, an implementation of Raft: over gRPC, in a folder that is
@@ -33,6 +20,9 @@
  * network partition; Ratis stores term and vote, holds a pre-vote, and transfers snapshots in
  * chunks.
  *
+ * <p>Where the library ends its part of the member, that is started anew; see {@link
+ * MemberSupervisor}.
+ *
  * <p>A member that lost its disk may have forgotten votes and acknowledged entries; see {@link
  * ReplicaRejoin}.
  *
@@ -70,17 +60,11 @@
         }
     }
 
-    private static final System.Logger LOG = System.getLogger("tinford.fleet");
-    private static final RaftGroupId GROUP_ID =
-            RaftGroupId.valueOf(UUID.fromString("74696e66-6f72-4d00-8000-666c65657400"));
-
     /** Referenced, as the platform drops an unreferenced logger together with its level. */
     private final Logger ratisLogger = Logger.getLogger("org.apache.ratis");
 
-    private final RaftServer server;
-    private final RaftServer.Division division;
-    private final RatisAppender appender;
-    private final Thread rejoinThread;
+    final MemberSupervisor supervisor;
+    private volatile long highestTerm;
     private volatile boolean closed;
 
     /**
@@ -116,119 +100,67 @@
             RpcType rpcType,
             Parameters parameters)
             throws IOException {
-        InetSocketAddress listenAddress = members.get(number);
-        if (listenAddress == null) {
+        if (members.get(number) == null) {
             throw new IllegalArgumentException(
                     "log member " + number + ": expected one of " + members.keySet());
         }
-        silenceRatis();
-        List<RaftPeer> peers = peers(members);
-        RaftGroup group = RaftGroup.valueOf(GROUP_ID, peers);
-        RaftProperties properties =
-                RatisProperties.of(bounds, listenAddress, folder, members.size(), rpcType);
-        Files.createDirectories(folder);
-        boolean hasStoredState = Files.exists(metadataFile(folder));
-        ReplicaRejoin rejoin =
-                new ReplicaRejoin(GROUP_ID, peerId(number), peers, properties, parameters, folder);
-        boolean mustRejoin = rejoin.isNeeded(hasStoredState);
-        server =
-                RaftServer.newBuilder()
-                        .setServerId(peerId(number))
-                        .setGroup(mustRejoin ? RaftGroup.valueOf(GROUP_ID) : group)
-                        .setProperties(properties)
-                        .setParameters(parameters)
-                        .setStateMachine(new RatisStateMachine(stateMachine))
-                        .setOption(hasStoredState ? StartupOption.RECOVER : StartupOption.FORMAT)
-                        .build();
-        try {
-            server.start();
-            division = server.getDivision(GROUP_ID);
-            appender =
-                    new RatisAppender(
-                            bounds,
-                            server,
-                            division,
-                            peers,
-                            rpcType,
-                            properties,
-                            parameters,
-                            "tinford-log-" + number);
-        } catch (IOException | RuntimeException e) {
-            closeAndLog(server);
-            throw e;
-        }
-        rejoinThread = mustRejoin ? rejoin.start() : null;
+        limitRatisLogging();
+        RatisMember.Settings settings =
+                new RatisMember.Settings(number, members, folder, bounds, rpcType, parameters);
+        AppliedState state = new AppliedState(stateMachine);
+        supervisor =
+                new MemberSupervisor(
+                        settings.id().toString(), () -> new RatisMember(settings, state));
     }
 
-    /** The library logs each failed connection. A level that an operator has set stays. */
-    private void silenceRatis() {
+    /** The library warns of each failed connection. A level that an operator has set stays. */
+    private void limitRatisLogging() {
         if (ratisLogger.getLevel() == null) {
-            ratisLogger.setLevel(Level.OFF);
+            ratisLogger.setLevel(Level.SEVERE);
         }
     }
 
-    private static List<RaftPeer> peers(SortedMap<Integer, InetSocketAddress> members) {
-        List<RaftPeer> peers = new ArrayList<>();
-        for (Map.Entry<Integer, InetSocketAddress> member : members.entrySet()) {
-            InetSocketAddress address = member.getValue();
-            peers.add(
-                    RaftPeer.newBuilder()
-                            .setId(peerId(member.getKey()))
-                            .setAddress(address.getHostString() + ":" + address.getPort())
-                            .build());
+    @Override
+    public CompletableFuture<Long> append(byte[] entry) {
+        RatisMember member = supervisor.member();
+        if (closed) {
+            return CompletableFuture.failedFuture(LogAppendException.closed());
         }
-        return peers;
-    }
-
-    private static RaftPeerId peerId(int number) {
-        return RaftPeerId.valueOf("m" + number);
+        return member == null
+                ? CompletableFuture.failedFuture(LogAppendException.restarting())
+                : member.append(entry);
     }
 
-    /** The file in which the library keeps term and vote. */
-    private static Path metadataFile(Path folder) {
-        return folder.resolve(GROUP_ID.getUuid().toString())
-                .resolve("current")
-                .resolve("raft-meta");
+    @Override
+    public boolean isLeader() {
+        RatisMember member = supervisor.member();
+        return !closed && member != null && member.isLeader();
     }
 
     @Override
-    public CompletableFuture<Long> append(byte[] entry) {
-        return appender.append(entry);
+    public long term() {
+        RatisMember member = supervisor.member();
+        if (member != null) {
+            highestTerm = Math.max(highestTerm, member.term());
+        }
+        return highestTerm;
     }
 
     @Override
-    public boolean isLeader() {
-        return !closed && division.getInfo().isLeaderReady();
+    public boolean isRunning() {
+        return supervisor.isRunning();
     }
 
     @Override
-    public long term() {
-        return division.getInfo().getCurrentTerm();
+    public int restarts() {
+        return supervisor.restarts();
     }
 
     @Override
     public synchronized void close() {
-        if (closed) {
-            return;
-        }
-        closed = true;
-        if (rejoinThread != null) {
-            rejoinThread.interrupt();
-        }
-        closeAndLog(appender::close);
-        closeAndLog(server);
-        appender.failPending();
-    }
-
-    private void closeAndLog(Closeable resource) {
-        try {
-            resource.close();
-        } catch (IOException | RuntimeException e) {
-            LOG.log(
-                    System.Logger.Level.WARNING,
-                    "log: close failed member={0} error={1}",
-                    server.getId(),
-                    e.toString());
+        if (!closed) {
+            closed = true;
+            supervisor.close();
         }
     }
 }
--- a/fleet/src/main/java/tinford/fleet/store/RatisProperties.java
+++ b/fleet/src/main/java/tinford/fleet/store/RatisProperties.java
@@ -1,13 +1,11 @@
 package tinford.fleet.store;
 
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.ratis.RaftConfigKeys;
 import org.apache.ratis.conf.RaftProperties;
 import org.apache.ratis.grpc.GrpcConfigKeys;
-import org.apache.ratis.rpc.RpcType;
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.util.SizeInBytes;
 import org.apache.ratis.util.TimeDuration;
@@ -18,31 +16,35 @@
     private static final int CACHED_SEGMENTS = 2;
     private static final double RETRY_CACHE_MARGIN_MS = 1000;
 
+    /** Longer than any rejoin takes. */
+    private static final double REJOIN_ELECTION_TIMEOUT_MS = 3_600_000;
+
     private RatisProperties() {}
 
-    static RaftProperties of(
-            RaftLog.Bounds bounds,
-            InetSocketAddress listenAddress,
-            Path folder,
-            int members,
-            RpcType rpcType) {
+    /**
+     * @param rejoins whether the member has no group yet: an election that it starts then is
+     *     answered with the end of its division
+     */
+    static RaftProperties of(RatisMember.Settings settings, boolean rejoins) {
+        RaftLog.Bounds bounds = settings.bounds();
+        InetSocketAddress listenAddress = settings.members().get(settings.number());
         RaftProperties properties = new RaftProperties();
-        RaftConfigKeys.Rpc.setType(properties, rpcType);
+        RaftConfigKeys.Rpc.setType(properties, settings.rpcType());
         GrpcConfigKeys.Server.setHost(properties, listenAddress.getHostString());
         GrpcConfigKeys.Server.setPort(properties, listenAddress.getPort());
-        RaftServerConfigKeys.setStorageDir(properties, List.of(folder.toFile()));
+        RaftServerConfigKeys.setStorageDir(properties, List.of(settings.folder().toFile()));
         RaftServerConfigKeys.setStorageFreeSpaceMin(properties, SizeInBytes.valueOf("4MB"));
-        setTimeouts(properties, bounds);
+        setTimeouts(properties, rejoins ? REJOIN_ELECTION_TIMEOUT_MS : bounds.electionTimeoutMs());
         setLogSizes(properties, bounds);
         setSnapshots(properties, bounds);
-        RaftServerConfigKeys.Write.setElementLimit(properties, 2 * bounds.maxInFlight() * members);
+        RaftServerConfigKeys.Write.setElementLimit(
+                properties, 2 * bounds.maxInFlight() * settings.members().size());
         RaftServerConfigKeys.RetryCache.setExpiryTime(
                 properties, milliseconds(4 * bounds.appendTimeoutMs() + RETRY_CACHE_MARGIN_MS));
         return properties;
     }
 
-    private static void setTimeouts(RaftProperties properties, RaftLog.Bounds bounds) {
-        double timeoutMs = bounds.electionTimeoutMs();
+    private static void setTimeouts(RaftProperties properties, double timeoutMs) {
         RaftServerConfigKeys.Rpc.setTimeoutMin(properties, milliseconds(timeoutMs));
         RaftServerConfigKeys.Rpc.setTimeoutMax(properties, milliseconds(2 * timeoutMs));
         RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMin(
--- a/fleet/src/main/java/tinford/fleet/store/RatisStateMachine.java
+++ b/fleet/src/main/java/tinford/fleet/store/RatisStateMachine.java
@@ -19,8 +19,8 @@
 import org.apache.ratis.util.MD5FileUtil;
 
 /**
- * Adapts a {@link ReplicatedLog.StateMachine} to Ratis, and keeps its snapshots as checksummed
- * files in the library's folder.
+ * Adapts an {@link AppliedState} to Ratis, and keeps its snapshots as checksummed files in the
+ * library's folder.
  */
 final class RatisStateMachine extends BaseStateMachine {
     private static final int MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024;
@@ -29,10 +29,21 @@
     private static final double SNAPSHOT_TIME_MS = 0;
 
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
-    private final ReplicatedLog.StateMachine stateMachine;
+    private final AppliedState state;
+    private volatile Throwable logFailure;
 
-    RatisStateMachine(ReplicatedLog.StateMachine stateMachine) {
-        this.stateMachine = stateMachine;
+    RatisStateMachine(AppliedState state) {
+        this.state = state;
+    }
+
+    /** What the library's log failed with, or null. */
+    Throwable logFailure() {
+        return logFailure;
+    }
+
+    @Override
+    public void notifyLogFailed(Throwable cause, LogEntryProto failedEntry) {
+        logFailure = cause;
     }
 
     @Override
@@ -74,7 +85,7 @@
             if (result.content() == null) {
                 throw new IOException("log: snapshot " + result.absenceReason());
             }
-            stateMachine.restore(latest.getIndex(), result.content());
+            state.restore(latest.getIndex(), result.content());
         }
         setLastAppliedTermIndex(latest.getTermIndex());
     }
@@ -85,9 +96,13 @@
         if (lastApplied == null || lastApplied.getIndex() < 0) {
             return -1;
         }
+        byte[] content = state.snapshotAt(lastApplied.getIndex());
+        if (content == null) {
+            return -1; // the library still replays what was applied before its start
+        }
         File file = storage.getSnapshotFile(lastApplied.getTerm(), lastApplied.getIndex());
         try (Store store = snapshotStore(file)) {
-            store.write(stateMachine.snapshot(), SNAPSHOT_TIME_MS);
+            store.write(content, SNAPSHOT_TIME_MS);
         }
         FileInfo info = new FileInfo(file.toPath(), MD5FileUtil.computeAndSaveMd5ForFile(file));
         storage.updateLatestSnapshot(new SingleFileSnapshotInfo(info, lastApplied));
@@ -101,8 +116,7 @@
     @Override
     public CompletableFuture<Message> applyTransaction(TransactionContext transaction) {
         LogEntryProto entry = transaction.getLogEntry();
-        stateMachine.apply(
-                entry.getIndex(), entry.getStateMachineLogEntry().getLogData().toByteArray());
+        state.apply(entry.getIndex(), entry.getStateMachineLogEntry().getLogData().toByteArray());
         updateLastAppliedTermIndex(entry.getTerm(), entry.getIndex());
         return CompletableFuture.completedFuture(Message.EMPTY);
     }
--- a/fleet/src/main/java/tinford/fleet/store/ReplicaRejoin.java
+++ b/fleet/src/main/java/tinford/fleet/store/ReplicaRejoin.java
@@ -44,6 +44,9 @@
     /** Exists, over restarts, from the discovery of the loss until the member counts again. */
     private final Path markerFile;
 
+    private Thread thread;
+    private volatile boolean done;
+
     ReplicaRejoin(
             RaftGroupId groupId,
             RaftPeerId self,
@@ -101,12 +104,20 @@
                 .build();
     }
 
-    /** Retries on a thread of its own until the member counts again; an interrupt ends it. */
-    Thread start() {
-        Thread thread = new Thread(this::rejoin, "tinford-log-rejoins-" + self);
+    /** Retries on a thread of its own until the member counts again, or {@link #stop}. */
+    void start() {
+        thread = new Thread(this::rejoin, "tinford-log-rejoins-" + self);
         thread.setDaemon(true);
         thread.start();
-        return thread;
+    }
+
+    void stop() {
+        thread.interrupt();
+    }
+
+    /** Whether the member counts again. */
+    boolean isDone() {
+        return done;
     }
 
     private void rejoin() {
@@ -128,6 +139,7 @@
                                     .isSuccess();
             if (rejoined) {
                 Files.deleteIfExists(markerFile);
+                done = true;
             }
             return rejoined;
         } catch (IOException | RuntimeException e) {
--- a/fleet/src/main/java/tinford/fleet/store/ReplicatedLog.java
+++ b/fleet/src/main/java/tinford/fleet/store/ReplicatedLog.java
@@ -41,6 +41,16 @@
     /** The highest term that this member knows; never falls within one incarnation. */
     long term();
 
+    /** Whether this member takes part: not while it is closed or being started anew. */
+    default boolean isRunning() {
+        return true;
+    }
+
+    /** How often this member was started anew after it had ended by a failure. */
+    default int restarts() {
+        return 0;
+    }
+
     @Override
     void close();
 }
--- a/fleet/src/test/java/tinford/fleet/store/RaftLogTest.java
+++ b/fleet/src/test/java/tinford/fleet/store/RaftLogTest.java
@@ -19,7 +19,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.apache.ratis.conf.Parameters;
+import org.testng.ITestResult;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 import tinford.fleet.testing.Eventually;
 
@@ -43,10 +45,20 @@
         return sharedFixture;
     }
 
+    /** A case that failed must not make those behind it fail too. */
+    @AfterMethod(alwaysRun = true)
+    public void dropFixtureOfFailedCase(ITestResult result) throws IOException {
+        if (!result.isSuccess()) {
+            closeSharedFixture();
+        }
+    }
+
     @AfterClass(alwaysRun = true)
     public void closeSharedFixture() throws IOException {
         if (sharedFixture != null) {
-            sharedFixture.cluster.close();
+            ClusterFixture closing = sharedFixture;
+            sharedFixture = null;
+            closing.cluster.close();
         }
     }
 
@@ -130,8 +142,7 @@
         }
     }
 
-    private static SortedMap<Integer, InetSocketAddress> freeAddresses(int count)
-            throws IOException {
+    static SortedMap<Integer, InetSocketAddress> freeAddresses(int count) throws IOException {
         SortedMap<Integer, InetSocketAddress> addresses = new TreeMap<>();
         List<ServerSocket> sockets = new ArrayList<>();
         for (int number = 1; number <= count; number++) {
@@ -145,7 +156,7 @@
         return addresses;
     }
 
-    private static boolean waitUntil(BooleanSupplier condition) {
+    static boolean waitUntil(BooleanSupplier condition) {
         try {
             return Eventually.holdsWithin(WAIT_MS, condition::getAsBoolean);
         } catch (InterruptedException e) {
@@ -165,7 +176,7 @@
         }
     }
 
-    private static void delete(Path folder) throws IOException {
+    static void delete(Path folder) throws IOException {
         try (Stream<Path> paths = Files.walk(folder)) {
             for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
                 Files.delete(path);
