--- a/gateway/src/main/java/tinford/program/Handover.java
+++ b/gateway/src/main/java/tinford/program/Handover.java
@@ -258,6 +258,12 @@
             return;
         }
         double graceMs = Math.max(remainingIdleMs(), KEEP_IDLE_AFTER_LISTENING_MS);
+        LOG.log(
+                Level.INFO,
+                "draining: listener closed sinceSigtermMs="
+                        + Math.round(sinceDrainStartedMs())
+                        + " crossedCloses="
+                        + clients.crossedCloses());
         double lateMs = sinceDrainStartedMs() + graceMs - KEEP_IDLE_AFTER_SIGTERM_MS;
         clients.stopAccepting(graceMs, lateMs, drained::countDown);
     }
--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -53,6 +53,8 @@
     /** When a client last connected, or was seen to have to connect again. */
     private double lastArrivalMs;
 
+    private int crossedCloses;
+
     /**
      * @param catalog in force until another one comes
      */
@@ -264,9 +266,15 @@
 
     /** A request crossed the close of its connection: its client is to connect again. */
     void clientExpected() {
+        crossedCloses++;
         lastArrivalMs = context.nowMs();
     }
 
+    /** How many closes of connections were crossed by requests, which are not read. */
+    public int crossedCloses() {
+        return crossedCloses;
+    }
+
     /** Within a batch: for how long no client has connected, or had to connect again. */
     public double sinceLastArrivalMs() {
         return context.nowMs() - lastArrivalMs;
--- a/gateway/src/test/java/tinford/routing/discovery/DiscoveryFixture.java
+++ b/gateway/src/test/java/tinford/routing/discovery/DiscoveryFixture.java
@@ -228,7 +228,7 @@
     }
 
     ServerSocketChannel listen() throws IOException {
-        return listen(new InetSocketAddress(LOOPBACK, 0));
+        return listen(new InetSocketAddress(LOOPBACK, FreePort.find()));
     }
 
     ServerSocketChannel listen(InetSocketAddress address) throws IOException {
