--- a/fleet/src/main/java/tinford/fleet/store/InMemoryLogMember.java
+++ b/fleet/src/main/java/tinford/fleet/store/InMemoryLogMember.java
@@ -86,20 +86,22 @@
             this.appender = appender;
         }
 
-        private boolean isOpen() {
-            return incarnation == ownIncarnation && isRunning();
+        /** Whether the member runs in the incarnation that this handle belongs to. */
+        @Override
+        public boolean isRunning() {
+            return incarnation == ownIncarnation && InMemoryLogMember.this.isRunning();
         }
 
         @Override
         public CompletableFuture<Long> append(byte[] entry) {
-            return isOpen()
+            return isRunning()
                     ? appender.apply(entry).result
                     : CompletableFuture.failedFuture(LogAppendException.closed());
         }
 
         @Override
         public boolean isLeader() {
-            return isOpen() && isLeader;
+            return isRunning() && isLeader;
         }
 
         @Override
@@ -109,7 +111,7 @@
 
         @Override
         public void close() {
-            if (isOpen()) {
+            if (isRunning()) {
                 InMemoryLogMember.this.close();
             }
         }
