--- a/review/standins/parties.py
+++ b/review/standins/parties.py
@@ -332,10 +332,10 @@
 class Gateway:
     """The gateway, started with the `run` line of the deploy file."""
 
-    def __init__(self, folder, discovery, counter, memory_mb=192, sockets=1024, port=None, management=None, name="gw"):
-        self.port = port or free_port()
+    def __init__(self, folder, discovery, counter, memory_mb=192, sockets=1024):
+        self.port = free_port()
         peer = "%s:%d" % (LOOPBACK, free_port(socket.SOCK_DGRAM))
-        self.config = os.path.join(folder, name + ".json")
+        self.config = os.path.join(folder, "config.json")
         document = {
             "name": "n0",
             "listen": "%s:%d" % (LOOPBACK, self.port),
@@ -349,15 +349,13 @@
             "known": {"seq": discovery.seq, "whole": True, "hosts": discovery.hosts},
             "settings": settings(),
         }
-        if management:
-            document["management"] = "%s:%d" % (LOOPBACK, management)
         with open(self.config, "w", encoding="ascii") as file:
             json.dump(document, file)
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
             run = tomllib.load(file)["run"]
         temporary = os.path.join(folder, "tmp")
-        os.makedirs(temporary, exist_ok=True)
-        self.log_path = os.path.join(folder, name + ".log")
+        os.mkdir(temporary)
+        self.log_path = os.path.join(folder, "gateway.log")
         self.log = open(self.log_path, "wb")
         environment = dict(
             os.environ,
@@ -406,22 +404,30 @@
     return text + ",units=1,spread=1,first=0"
 
 
-def run_case(case_folder, servers_of, play, **limits):
+def run_case(case_folder, servers_of, play):
     """Runs one case and exits with its result.
 
-    servers_of(record) makes the servers; play(gateway, record, trouble) returns the list of breaks of the rule.
+    servers_of(record, trouble) makes the servers; play(gateway, record, trouble) returns the list of breaks of the rule.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(case_folder)
     gateway = None
     code = EXIT_NOT_RUN
+
+    def end_early(number, frame):
+        if gateway:
+            gateway.stop()
+        os._exit(EXIT_NOT_RUN)
+
+    signal.signal(signal.SIGTERM, end_early)
+    signal.signal(signal.SIGINT, end_early)
     with tempfile.TemporaryDirectory() as folder:
         try:
             servers = servers_of(record, trouble)
             counter = Counter()
             discovery = Discovery()
             discovery.hosts = [server.entry() for server in servers]
-            gateway = Gateway(folder, discovery, counter, **limits)
+            gateway = Gateway(folder, discovery, counter)
             gateway.await_ready()
             record.write("gateway ready; disruption %s" % ("on" if trouble else "off"))
             breaks = play(gateway, record, trouble)
