Count the stall checks of a streamed response by timers

A stream was closed by the clock of the machine, which tests can't advance. It is now closed after four checks in a row, 2.5 s apart, that found no progress: 10 to 12.5 s without progress, as before. One timer a stream, cancelled with it.

--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -24,8 +24,11 @@
     private static final int STREAM_HEAD_BYTES = 16;
 
     private static final int STREAM_BUFFER_BYTES = 16 << 10;
-    private static final double STREAM_STALL_TIMEOUT_MS = 10_000;
-    private static final int STREAM_CHECKS_PER_TIMEOUT = 4;
+    private static final double STREAM_CHECK_INTERVAL_MS = 2500;
+
+    /** A stream that makes no progress between this many checks in a row is closed. */
+    private static final int MAX_CHECKS_WITHOUT_PROGRESS = 4;
+
     private static final long NO_STREAM = -1;
     final PooledServer server;
 
@@ -58,8 +61,11 @@
     /** Whether the beginning of the streamed response has been written to the client. */
     private boolean streamStarted;
 
-    /** Time at which the stream last made progress, or the client could last accept more. */
-    private double lastStreamProgressMs;
+    /** The next check for progress while a value is streamed, or null. */
+    private EventLoop.Timer streamCheck;
+
+    /** Checks in a row that found no progress of the stream. */
+    private int checksWithoutProgress;
 
     ServerConnection(ServerPool pool, PooledServer server) {
         super(pool.context.loop(), RespReader.MAX_VALUE_BYTES, MAX_UNWRITTEN_BYTES);
@@ -215,17 +221,17 @@
         buffer.setMaxReadBytes(STREAM_BUFFER_BYTES);
         streamRemaining = valueLength;
         streamParts = parts;
-        lastStreamProgressMs = pool.context.nowMs();
+        checksWithoutProgress = 0;
         attempt.request.setResponseSource(this);
         pool.attemptListener.responseStarted(attempt);
-        checkStreamStalled();
+        scheduleStreamCheck();
         forwardStream();
     }
 
     /** Called when the client can accept more, or when all earlier responses are complete. */
     @Override
     public void resume() {
-        lastStreamProgressMs = pool.context.nowMs();
+        checksWithoutProgress = 0;
         resumeReads();
         try {
             forwardStream();
@@ -266,7 +272,7 @@
         if (length == 0) {
             return true;
         }
-        lastStreamProgressMs = pool.context.nowMs();
+        checksWithoutProgress = 0;
         streamRemaining -= length;
         boolean canAcceptMore = request.writeStreamPart(buffer.bytes(), buffer.readIndex(), length);
         buffer.consume(length);
@@ -277,16 +283,17 @@
         return false;
     }
 
+    private void scheduleStreamCheck() {
+        streamCheck = loop.schedule(STREAM_CHECK_INTERVAL_MS, this::checkStreamStalled);
+    }
+
     /** Closes a stalled stream, which would otherwise occupy two connections indefinitely. */
     private void checkStreamStalled() {
-        if (isClosed() || streamRemaining == NO_STREAM) {
-            return;
-        }
-        if (pool.context.nowMs() - lastStreamProgressMs > STREAM_STALL_TIMEOUT_MS) {
+        checksWithoutProgress++;
+        if (checksWithoutProgress > MAX_CHECKS_WITHOUT_PROGRESS) {
             close(CloseReason.RESPONSE_TIMEOUT);
         } else {
-            loop.schedule(
-                    STREAM_STALL_TIMEOUT_MS / STREAM_CHECKS_PER_TIMEOUT, this::checkStreamStalled);
+            scheduleStreamCheck();
         }
     }
 
@@ -347,10 +354,18 @@
     private void clearAttempt() {
         attempt = null;
         cancelResponseTimeout();
+        cancelStreamCheck();
         streamRemaining = NO_STREAM;
         streamStarted = false;
     }
 
+    private void cancelStreamCheck() {
+        if (streamCheck != null) {
+            streamCheck.cancel();
+            streamCheck = null;
+        }
+    }
+
     /**
      * If the fleet limits connections, a closed connection counts against the limit until the
      * server has seen the close.
