Keep a streamed value that waits for its turn, however long the client reads

Cause: the check for stalled streams counted from the last part that was forwarded. A value that waits behind others forwards nothing, so it was closed after 10 s as if its server had stalled.

Change: only the response whose turn it is can be stalled; the others begin to count when theirs comes.

--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -287,9 +287,13 @@
         streamCheck = loop.schedule(STREAM_CHECK_INTERVAL_MS, this::checkStreamStalled);
     }
 
-    /** Closes a stalled stream, which would otherwise occupy two connections indefinitely. */
+    /**
+     * Closes a stalled stream, which would otherwise occupy two connections indefinitely. A stream
+     * that waits for earlier responses is not stalled: its connection is not read until its turn
+     * comes, and the response before it is checked itself.
+     */
     private void checkStreamStalled() {
-        checksWithoutProgress++;
+        checksWithoutProgress = attempt.request.isNextToAnswer() ? checksWithoutProgress + 1 : 0;
         if (checksWithoutProgress > MAX_CHECKS_WITHOUT_PROGRESS) {
             close(CloseReason.RESPONSE_TIMEOUT);
         } else {
@@ -385,6 +389,9 @@
         pool.connectionClosed(this, reason);
         ServerAttempt ended = attempt;
         boolean streamInterrupted = streamStarted;
+        if (streamRemaining != NO_STREAM && reason != CloseReason.CANCELLED) {
+            pool.context.warn("response interrupted", "server=" + server.id, interruption(reason));
+        }
         boolean sent = isSent();
         clearAttempt();
         if (ended == null) {
@@ -397,4 +404,8 @@
         pool.attemptListener.attemptEnded(
                 ended, OutcomeMapping.ofAttempt(reason, sent), 0, 0, null);
     }
+
+    private static ProtocolException interruption(CloseReason reason) {
+        return new ProtocolException("the rest of a streamed response, not " + reason);
+    }
 }
--- /dev/null
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -0,0 +1,52 @@
+package tinford.routing.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static tinford.routing.RoutingFixtures.read;
+import static tinford.routing.RoutingFixtures.write;
+
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+import tinford.api.Request;
+
+/**
+ * Guards against streamed values that lose their place in the order of the responses: the client
+ * would get neither them nor any later response on its connection.
+ */
+public class StreamedResponseTest extends ServerResponseFixture {
+    private static final String ONE = "*1\r\n$3\r\none\r\n";
+    private static final String ANSWER_ONE = "$3\r\none\r\n";
+    private static final int VALUE_BYTES = 70_000;
+    private static final String ANSWER_LONG =
+            "$" + VALUE_BYTES + "\r\n" + "x".repeat(VALUE_BYTES) + "\r\n";
+    private static final String LONG = "*1\r\n" + ANSWER_LONG;
+    private static final int FIRST_PIECE_BYTES = 200;
+
+    private void sendAttempt(Request request) {
+        dispatcher
+                .loop()
+                .execute(() -> dispatcher.sendAttempt(request, server, 0, NO_SEND_DEADLINE_MS));
+    }
+
+    /** A value that waits for its turn was dropped after 10 s, as if its server had stalled. */
+    @Test
+    public void valueThatWaitsForItsTurnIsNotStalled() throws Exception {
+        Request first = request(1);
+        Request second = request(2);
+        sendAttempt(first);
+        Socket slow = acceptCommand(1);
+        sendAttempt(second);
+        Socket waiting = acceptCommand(2);
+        write(waiting, LONG.substring(0, FIRST_PIECE_BYTES));
+        awaitResponseStart(second);
+        for (int i = 0; i < 20; i++) {
+            nanoTime.addAndGet(TimeUnit.SECONDS.toNanos(1));
+            runBatch();
+        }
+        write(slow, ONE);
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+        write(waiting, LONG.substring(FIRST_PIECE_BYTES));
+        assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
+        ping();
+    }
+}
