Keep the source of a streamed response when another attempt of its request ends

What callers saw: no value and no later answer on the connection, silent until the stall check closed it, where a request had two attempts at once and the other one ended (cancelled, reset) after a long value had begun to arrive.

Cause: ServerConnection.onClosed detached whatever source the response had, also that of another connection, so the client's connection resumed nothing when its turn came or when it could accept more. Now only a connection that streams detaches itself.

Before: StreamedResponseTest.valueIsForwardedAfterAnotherAttemptHasEnded, "SocketTimeout Read timed out", 10 s. With the fix the class passes.

--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -389,7 +389,8 @@
         pool.connectionClosed(this, reason);
         ServerAttempt ended = attempt;
         boolean streamInterrupted = streamStarted;
-        if (streamRemaining != NO_STREAM && reason != CloseReason.CANCELLED) {
+        boolean hasStream = streamRemaining != NO_STREAM;
+        if (hasStream && reason != CloseReason.CANCELLED) {
             pool.context.warn("response interrupted", "server=" + server.id, interruption(reason));
         }
         boolean sent = isSent();
@@ -397,7 +398,9 @@
         if (ended == null) {
             return;
         }
-        ended.request.setResponseSource(null);
+        if (hasStream) {
+            ended.request.setResponseSource(null);
+        }
         if (streamInterrupted) {
             ended.request.abortStream(reason);
         }
--- a/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 import tinford.api.Request;
+import tinford.testing.Eventually;
 
 /**
  * Guards against streamed values that lose their place in the order of the responses: the client
@@ -49,4 +50,26 @@
         assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
         ping();
     }
+
+    /** The end of a hedged request's other attempt detached the value from its client. */
+    @Test
+    public void valueIsForwardedAfterAnotherAttemptHasEnded() throws Exception {
+        Request first = request(1);
+        Request second = request(2);
+        sendAttempt(first);
+        Socket slow = acceptCommand(1);
+        sendAttempt(second);
+        Socket waiting = acceptCommand(2);
+        sendAttempt(second);
+        Socket hedge = acceptCommand(2);
+        write(waiting, LONG.substring(0, FIRST_PIECE_BYTES));
+        awaitResponseStart(second);
+        hedge.close();
+        Eventually.await("the end of the other attempt", () -> !ended.isEmpty());
+        write(slow, ONE);
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+        write(waiting, LONG.substring(FIRST_PIECE_BYTES));
+        assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
+        ping();
+    }
 }
