Answer a request whose started response is interrupted before its turn

What callers saw: no answer, no close and no later answer on the connection, where a long value waited behind others and its server's connection was closed by the gateway before the value's turn.

Cause: a started response finishes its request, so no later attempt answers it, and an interrupted stream was only reported to the client's connection once a part had been written. Its place in the order of the responses stayed taken for good. It is answered with "-ERR aborted" now, as it may have run; the responses behind it follow.

Before: StreamedResponseTest.valueThatIsInterruptedBeforeItsTurnIsAnsweredAsAborted, "SocketTimeout Read timed out", 10 s.

--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -214,7 +214,7 @@
     /** Answers a request as failed, unless it is finished. To be called within a batch. */
     public void fail(ClientRequest request) {
         if (finish(request)) {
-            request.connection.answerLine(request.slot, "-ERR aborted");
+            request.answerAborted();
         }
     }
 
--- a/gateway/src/main/java/tinford/routing/client/ClientRequest.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientRequest.java
@@ -12,6 +12,9 @@
 
 /** A client's request, with its connection, its response slot and its attempts. */
 public final class ClientRequest extends ForwardedRequest {
+    /** Response to a request that a server may have executed. */
+    private static final String ABORTED = "-ERR aborted";
+
     final ClientConnection connection;
     final ResponseSlot slot = new ResponseSlot(this);
     private final List<ServerAttempt> attempts = new ArrayList<>(1);
@@ -98,4 +101,11 @@
     protected void abortStream(CloseReason reason) {
         connection.close(reason);
     }
+
+    @Override
+    protected void answerAborted() {
+        if (!connection.isClosed()) {
+            connection.answerLine(slot, ABORTED);
+        }
+    }
 }
--- a/gateway/src/main/java/tinford/routing/upstream/ForwardedRequest.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ForwardedRequest.java
@@ -47,4 +47,7 @@
      * to indicate that a response which has been started is incomplete.
      */
     protected abstract void abortStream(CloseReason reason);
+
+    /** Answers the request as failed, also in place of a response that was not forwarded. */
+    protected abstract void answerAborted();
 }
--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -388,8 +388,8 @@
     protected void onClosed(CloseReason reason) {
         pool.connectionClosed(this, reason);
         ServerAttempt ended = attempt;
-        boolean streamInterrupted = streamStarted;
         boolean hasStream = streamRemaining != NO_STREAM;
+        boolean isForwarded = streamStarted;
         if (hasStream && reason != CloseReason.CANCELLED) {
             pool.context.warn("response interrupted", "server=" + server.id, interruption(reason));
         }
@@ -399,15 +399,23 @@
             return;
         }
         if (hasStream) {
-            ended.request.setResponseSource(null);
-        }
-        if (streamInterrupted) {
-            ended.request.abortStream(reason);
+            endInterruptedStream(ended.request, isForwarded, reason);
         }
         pool.attemptListener.attemptEnded(
                 ended, OutcomeMapping.ofAttempt(reason, sent), 0, 0, null);
     }
 
+    /** Gives the request a final answer, as no other attempt will: its response had started. */
+    private static void endInterruptedStream(
+            ForwardedRequest request, boolean isForwarded, CloseReason reason) {
+        request.setResponseSource(null);
+        if (isForwarded) {
+            request.abortStream(reason);
+        } else {
+            request.answerAborted();
+        }
+    }
+
     private static ProtocolException interruption(CloseReason reason) {
         return new ProtocolException("the rest of a streamed response, not " + reason);
     }
--- a/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -1,6 +1,7 @@
 package tinford.routing.upstream;
 
 import static org.testng.Assert.assertEquals;
+import static tinford.routing.RoutingFixtures.ABORTED;
 import static tinford.routing.RoutingFixtures.read;
 import static tinford.routing.RoutingFixtures.write;
 
@@ -51,6 +52,25 @@
         ping();
     }
 
+    /** The request is answered whatever closes the server's connection before its turn. */
+    @Test
+    public void valueThatIsInterruptedBeforeItsTurnIsAnsweredAsAborted() throws Exception {
+        Request first = request(1);
+        Request second = request(2);
+        sendAttempt(first);
+        Socket slow = acceptCommand(1);
+        sendAttempt(second);
+        Socket waiting = acceptCommand(2);
+        write(waiting, LONG.substring(0, FIRST_PIECE_BYTES));
+        awaitResponseStart(second);
+        dispatcher.loop().execute(() -> dispatcher.cancelAttempt(second, 0));
+        runBatch();
+        write(slow, ONE);
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+        assertEquals(read(client, ABORTED.length()), ABORTED);
+        ping();
+    }
+
     /** The end of a hedged request's other attempt detached the value from its client. */
     @Test
     public void valueIsForwardedAfterAnotherAttemptHasEnded() throws Exception {
