Stop reading a client's commands while it does not read its responses

Cause: answers were written to the connection's buffer however much of it was unwritten, and further commands were read; with over 1 MiB unwritten the connection was closed. Trace, a print in Connection.flush of: 7.67 s "overfull unwritten=1580608 limit=1048576 peer=CLIENTS budgetExceeded=false", 7.89 s "the connection ended" at the client.

Change: with over 32 KiB unwritten (WriteBackpressure, the bound that streams had) no command is read and no response is written; responses that are ready are kept, as those behind an earlier one were, and both go on at 8 KiB. At most one response more than the bound is in the buffer, so the limit of 1 MiB is not met. A client that has closed is still noticed, as before a retry. A connection ends when its client has accepted nothing for 20 s, also with commands open, no longer 20 s after its last command: a warning, "client reads no responses". Kept responses count as held bytes; no new thread, descriptor or connection.

--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -16,24 +16,28 @@
     private static final double PARTIAL_COMMAND_TIMEOUT_MS = 2300;
 
     private static final double MAX_JUST_OPENED_MS = 250;
-    private static final double UNREAD_RESPONSE_TIMEOUT_MS = 20_000;
-    private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
 
-    /** Limit on the unwritten bytes of a streamed response. */
-    private static final int MAX_UNWRITTEN_STREAM_BYTES = 32 << 10;
+    /** How long a client may accept nothing of a response that is to be written. */
+    private static final double UNREAD_RESPONSE_TIMEOUT_MS = 20_000;
 
-    private static final int STREAM_RESUME_BYTES = 8 << 10;
+    /** Not reached, because {@link WriteBackpressure} stops before. */
+    private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
 
     /**
      * Limit on the unanswered commands of a connection. Clients open another one when all are busy.
      */
     private static final int MAX_UNANSWERED_COMMANDS = 64;
 
+    private static final ProtocolException UNREAD_RESPONSE =
+            new ProtocolException(
+                    "a client that reads within " + (long) UNREAD_RESPONSE_TIMEOUT_MS + " ms");
+
     /** Response to a command that was not executed, so that the client may send it again. */
     private static final String REJECTED = "-BUSY";
 
     private final ClientPool pool;
     private final ResponseQueue responses;
+    private final WriteBackpressure backpressure;
 
     /**
      * Reason for closing the connection once all commands are answered, or null to keep it open.
@@ -66,11 +70,22 @@
 
     private double lastUseMs;
 
+    /** Whether no command is read until the client has accepted its responses. */
+    private boolean areCommandsPaused;
+
+    /** Number of bytes that the client had accepted at {@link #lastWriteProgressMs}. */
+    private long lastWrittenBytes;
+
+    /** Time at which the client was last seen to accept bytes, or to have accepted all. */
+    private double lastWriteProgressMs;
+
     ClientConnection(ClientPool pool) {
         super(pool.context.loop(), RespReader.MAX_COMMAND_BYTES, MAX_UNWRITTEN_BYTES);
         this.pool = pool;
-        this.responses = new ResponseQueue(pool, buffer);
+        this.backpressure = new WriteBackpressure(buffer, loop.bufferBudget());
+        this.responses = new ResponseQueue(pool, buffer, backpressure);
         this.lastUseMs = pool.context.nowMs();
+        this.lastWriteProgressMs = lastUseMs;
         this.acceptedWhileDraining = pool.isDraining();
     }
 
@@ -132,13 +147,35 @@
             boolean more = true;
             while (more && !isClosed() && pendingClose != CloseReason.PROTOCOL_ERROR) {
                 discardRejectedCommand();
-                more = discardBytes == 0 && readCommand();
+                more = discardBytes == 0 && !pauseCommandsIfCongested() && readCommand();
             }
         } catch (ProtocolException e) {
             rejectAsMalformed(e);
         }
     }
 
+    /**
+     * Reads no further command while the client does not accept its responses, so that those wait
+     * with the client. The rest of a partial command is still read, within its own timeout.
+     */
+    private boolean pauseCommandsIfCongested() {
+        if (partialSinceMs > 0 || !backpressure.isActive()) {
+            return false;
+        }
+        areCommandsPaused = true;
+        suspendReadsExceptPolls();
+        awaitDrain(backpressure.resumeBytes());
+        return true;
+    }
+
+    private void resumeCommands() {
+        if (areCommandsPaused && !backpressure.isActive()) {
+            areCommandsPaused = false;
+            resumeReads();
+            onReceived();
+        }
+    }
+
     /** Reads the next command; returns false if none is complete. */
     private boolean readCommand() throws ProtocolException {
         RespReader reader = pool.respReader;
@@ -257,6 +294,7 @@
 
     /** Enforces the timeouts for idle connections, partial commands and unread responses. */
     void checkTimeouts(double nowMs) {
+        trackWriteProgress(nowMs);
         boolean malformed = pendingClose == CloseReason.PROTOCOL_ERROR;
         boolean partialTooLong = nowMs - partialSinceMs >= PARTIAL_COMMAND_TIMEOUT_MS;
         double quietMs = nowMs - lastUseMs;
@@ -265,15 +303,24 @@
         } else if (!malformed && partialSinceMs > 0 && partialTooLong) {
             long limitMs = (long) PARTIAL_COMMAND_TIMEOUT_MS;
             rejectAsMalformed(new ProtocolException("a whole command within " + limitMs + " ms"));
-        } else if (isIdle()
-                && buffer.unwrittenBytes() > 0
-                && quietMs >= UNREAD_RESPONSE_TIMEOUT_MS) {
+        } else if (nowMs - lastWriteProgressMs >= UNREAD_RESPONSE_TIMEOUT_MS) {
+            pool.context.warn(
+                    "client reads no responses",
+                    "unwritten=" + buffer.unwrittenBytes(),
+                    UNREAD_RESPONSE);
             close(CloseReason.BUFFER_LIMIT_EXCEEDED);
         } else if (pendingClose == null && isIdle() && quietMs >= idleTimeoutMs()) {
             closeIfQuiet();
         }
     }
 
+    private void trackWriteProgress(double nowMs) {
+        if (buffer.unwrittenBytes() == 0 || buffer.writtenBytes() != lastWrittenBytes) {
+            lastWrittenBytes = buffer.writtenBytes();
+            lastWriteProgressMs = nowMs;
+        }
+    }
+
     private double idleTimeoutMs() {
         return commandReceived ? pool.limits.idleTimeoutMs() : FIRST_COMMAND_TIMEOUT_MS;
     }
@@ -334,6 +381,8 @@
     void answerLine(ResponseSlot slot, String line) {
         if (responses.putLine(slot, line)) {
             completeResponse();
+        } else {
+            awaitDrainIfCongested();
         }
     }
 
@@ -341,6 +390,8 @@
     void answerValue(ResponseSlot slot, byte[] value, int from, int length) {
         if (responses.putValue(slot, value, from, length)) {
             completeResponse();
+        } else {
+            awaitDrainIfCongested();
         }
     }
 
@@ -358,12 +409,15 @@
     boolean writeStreamPart(byte[] bytes, int from, int length) {
         buffer.put(bytes, from, length);
         scheduleFlush();
-        int maxUnwritten = loop.bufferBudget().isNearlyExhausted() ? 0 : MAX_UNWRITTEN_STREAM_BYTES;
-        if (buffer.unwrittenBytes() <= maxUnwritten) {
-            return true;
+        return !awaitDrainIfCongested();
+    }
+
+    private boolean awaitDrainIfCongested() {
+        boolean congested = backpressure.isActive();
+        if (congested) {
+            awaitDrain(backpressure.resumeBytes());
         }
-        awaitDrain(STREAM_RESUME_BYTES);
-        return false;
+        return congested;
     }
 
     /** Completes the streamed value. */
@@ -375,12 +429,20 @@
 
     @Override
     protected void onDrained() {
-        resumeSource();
+        if (responses.writeKept()) {
+            afterResponse();
+        } else {
+            resumeSource();
+        }
+        if (!isClosed()) {
+            resumeCommands();
+        }
     }
 
+    /** Resumes the source of the first response, or does so once the client accepts more. */
     private void resumeSource() {
         ResponseSlot first = responses.first();
-        if (first != null && first.source != null) {
+        if (!awaitDrainIfCongested() && first != null && first.source != null) {
             first.source.resume();
         }
     }
@@ -388,6 +450,10 @@
     /** Called when the first response is written: continues with the next ones, or closes. */
     private void completeResponse() {
         responses.completeFirst();
+        afterResponse();
+    }
+
+    private void afterResponse() {
         lastUseMs = pool.context.nowMs();
         scheduleFlush();
         resumeSource();
--- a/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
+++ b/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
@@ -6,11 +6,13 @@
 
 /**
  * The outstanding responses of a connection, in the order of its commands. A response that is ready
- * before an earlier one is kept until it can be written, and counts as held bytes.
+ * before an earlier one, or before the client accepts more, is kept until it can be written, and
+ * counts as held bytes.
  */
 final class ResponseQueue {
     private final ClientPool pool;
     private final ConnectionBuffer buffer;
+    private final WriteBackpressure backpressure;
     private ResponseSlot first;
     private ResponseSlot last;
     private int size;
@@ -18,9 +20,10 @@
     /**
      * @param buffer the buffer that responses are written to
      */
-    ResponseQueue(ClientPool pool, ConnectionBuffer buffer) {
+    ResponseQueue(ClientPool pool, ConnectionBuffer buffer, WriteBackpressure backpressure) {
         this.pool = pool;
         this.buffer = buffer;
+        this.backpressure = backpressure;
     }
 
     boolean isEmpty() {
@@ -47,13 +50,14 @@
     }
 
     /**
-     * Writes a line if all earlier responses are complete; otherwise keeps it.
+     * Writes a line if all earlier responses are written and the client accepts more; otherwise
+     * keeps it.
      *
      * @param line the line without its line end
      * @return whether it was written
      */
     boolean putLine(ResponseSlot slot, String line) {
-        if (slot == first) {
+        if (canWrite(slot)) {
             buffer.put(line).putLineEnd();
             return true;
         }
@@ -62,12 +66,13 @@
     }
 
     /**
-     * Writes a value if all earlier responses are complete; otherwise keeps a copy.
+     * Writes a value if all earlier responses are written and the client accepts more; otherwise
+     * keeps a copy.
      *
      * @return whether it was written
      */
     boolean putValue(ResponseSlot slot, byte[] value, int from, int length) {
-        if (slot == first) {
+        if (canWrite(slot)) {
             buffer.put("$").put(length).putLineEnd().put(value, from, length).putLineEnd();
             return true;
         }
@@ -75,6 +80,10 @@
         return false;
     }
 
+    private boolean canWrite(ResponseSlot slot) {
+        return slot == first && !backpressure.isActive();
+    }
+
     private static byte[] encodeValue(byte[] value, int from, int length) {
         byte[] head = ("$" + length + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
         byte[] encoded = Arrays.copyOf(head, head.length + length + 2);
@@ -94,11 +103,23 @@
      */
     void completeFirst() {
         removeFirst();
-        while (first != null && first.response != null) {
+        writeKept();
+    }
+
+    /**
+     * Writes the kept responses whose turn has come, as long as the client accepts more.
+     *
+     * @return whether any was written
+     */
+    boolean writeKept() {
+        boolean written = false;
+        while (first != null && first.response != null && !backpressure.isActive()) {
             buffer.put(first.response, 0, first.response.length);
             pool.addHeldBytes(-first.response.length);
             removeFirst();
+            written = true;
         }
+        return written;
     }
 
     private void removeFirst() {
--- a/gateway/src/main/java/tinford/transport/Connection.java
+++ b/gateway/src/main/java/tinford/transport/Connection.java
@@ -42,6 +42,7 @@
     private boolean isFlushScheduled;
     private boolean holdsDescriptor;
     private boolean isReadSuspended;
+    private boolean mayReadAhead;
 
     /**
      * @param maxUnreadBytes limit for bytes received but not consumed; the connection is closed
@@ -180,7 +181,7 @@
     }
 
     final boolean isReadable() {
-        return connection != null && !isReadSuspended;
+        return connection != null && (!isReadSuspended || mayReadAhead);
     }
 
     /**
@@ -338,6 +339,17 @@
 
     /** Stops reading; further input stays in the socket's receive buffer. */
     protected final void suspendReads() {
+        mayReadAhead = false;
+        suspendReadEvents();
+    }
+
+    /** As {@link #suspendReads}, but {@link #pollPeerClosed} still reads ahead. */
+    protected final void suspendReadsExceptPolls() {
+        mayReadAhead = true;
+        suspendReadEvents();
+    }
+
+    private void suspendReadEvents() {
         if (isOpen()) {
             isReadSuspended = true;
             connection.getSourceChannel().suspendReads();
--- a/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
+++ b/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
@@ -31,6 +31,7 @@
     private int writeIndex;
     private int writeLimit;
     private int maxReadBytes = READ_BYTES;
+    private long writtenBytes;
 
     public ConnectionBuffer(BufferBudget budget) {
         this.budget = budget;
@@ -61,6 +62,11 @@
         return writeLimit - writeIndex;
     }
 
+    /** The number of bytes that the socket has accepted so far. */
+    public long writtenBytes() {
+        return writtenBytes;
+    }
+
     /** Removes that many unread bytes, the oldest first. */
     public void consume(int count) {
         readIndex += count;
@@ -114,6 +120,7 @@
                 return false;
             }
             writeIndex += written;
+            writtenBytes += written;
         }
         return true;
     }
--- a/gateway/src/test/java/tinford/routing/client/ClosingFixture.java
+++ b/gateway/src/test/java/tinford/routing/client/ClosingFixture.java
@@ -48,6 +48,9 @@
     /** Whether requests fail on arrival; otherwise they stay open. */
     boolean failsRequests;
 
+    /** The value that requests are answered with on arrival, or null to do without. */
+    byte[] answer;
+
     /** Whether a unit is returned to the counter when a client disconnects. */
     boolean returnsUnits;
 
@@ -59,6 +62,7 @@
     @BeforeMethod
     public void start() throws Exception {
         failsRequests = true;
+        answer = null;
         returnsUnits = false;
         nanoTime.set(0);
         requests.clear();
@@ -92,7 +96,10 @@
                         public void requestArrived(Request request) {
                             arrivedIds.add(request.id);
                             requests.add((ClientRequest) request);
-                            if (failsRequests) {
+                            if (answer != null) {
+                                ((ClientRequest) request).answer(answer, 0, answer.length);
+                                clients.finish((ClientRequest) request);
+                            } else if (failsRequests) {
                                 to.fail(request);
                             }
                         }
