Notice the progress of a client that reads slowly before its value is cut off

Cause: the wait for a slow client ends when the system reports its socket as writable, and that comes only once a third of the send buffer (up to 4 MiB) is free: 14 s at 100,000 bytes a second. The stall check took that silence for proof that the client reads nothing, and ended the stream after 10 to 12.5 s.

Change: unwritten bytes are written again with the checks of client connections, four times a second, which finds any free space. One write call for each connection that is blocked, none for the others. The timeouts stay.

Before: StreamedResponseTest.valuesThatAreReadSlowlyAreNotCutOff, "after 7050000 bytes expected [10000] but found [5356]".

--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -319,6 +319,11 @@
             lastWrittenBytes = buffer.writtenBytes();
             lastWriteProgressMs = nowMs;
         }
+        if (buffer.unwrittenBytes() > 0) {
+            // The system reports a socket as writable only once a third of its buffer is free,
+            // which takes long if the client reads slowly.
+            scheduleFlush();
+        }
     }
 
     private double idleTimeoutMs() {
--- a/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -23,6 +23,10 @@
             "$" + VALUE_BYTES + "\r\n" + "x".repeat(VALUE_BYTES) + "\r\n";
     private static final String LONG = "*1\r\n" + ANSWER_LONG;
     private static final int FIRST_PIECE_BYTES = 200;
+    private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+    private static final int SLOWLY_READ_BYTES = 4 << 20;
+    private static final int BYTES_PER_SECOND = 10_000;
+    private static final int CHECKS_PER_SECOND = 4;
 
     private void sendAttempt(Request request) {
         dispatcher
@@ -92,4 +96,30 @@
         assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
         ping();
     }
+
+    /** Values whose client reads them steadily but slowly were cut off as stalled. */
+    @Test
+    public void valuesThatAreReadSlowlyAreNotCutOff() throws Exception {
+        client.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        String answer = "$" + SLOWLY_READ_BYTES + "\r\n" + "y".repeat(SLOWLY_READ_BYTES) + "\r\n";
+        for (int id = 1; id <= 2; id++) {
+            sendAttempt(request(id));
+            Socket socket = acceptCommand(id);
+            Thread writer = new Thread(() -> write(socket, "*1\r\n" + answer));
+            writer.setDaemon(true);
+            writer.start();
+        }
+        int received = 0;
+        while (received < 2 * answer.length()) {
+            int expected = Math.min(BYTES_PER_SECOND, 2 * answer.length() - received);
+            int length = read(client, expected).length();
+            assertEquals(length, expected, "after " + received + " bytes");
+            received += length;
+            for (int i = 0; i < CHECKS_PER_SECOND; i++) {
+                nanoTime.addAndGet(TimeUnit.SECONDS.toNanos(1) / CHECKS_PER_SECOND);
+                runBatch();
+            }
+        }
+        ping();
+    }
 }
