Stream a long value whose first piece ends right behind its head

Cause: a response was looked at for a long value only with more than 16 bytes received; a whole head of up to 16 bytes then went to the parser of short values, which rejects the length. The head is now parsed whatever has come: an incomplete one is waited for, as before.

Before: StreamedResponseTest.longValueIsStreamedHoweverShortItsFirstPiece failed for first pieces of 12 to 16 bytes (5 of 17, "Read timed out"); with it all 17 pass, ProtocolTest and LongValueTest too.

--- a/gateway/src/main/java/tinford/protocol/RespReader.java
+++ b/gateway/src/main/java/tinford/protocol/RespReader.java
@@ -48,7 +48,7 @@
     private boolean isArray;
     private int elementCount;
     private int requiredBytes;
-    private long longValueBytes;
+    private long valueBytes;
 
     public RespReader() {
         this(false);
@@ -211,14 +211,13 @@
     }
 
     /**
-     * Parses the head of a response with a long value: an array whose first element is a bulk
-     * string that is too long to be parsed in one piece. Its length is then returned by {@link
-     * #longValueBytes}.
+     * Parses the head of a response with a value: an array whose first element is a bulk string.
+     * The length of the value is then returned by {@link #valueBytes}.
      *
-     * @return the length of the head, after which the bytes of the long value begin, or 0 if there
-     *     is no such head
+     * @return the length of the head, after which the bytes of the value begin, or 0 if there is no
+     *     such head or it is incomplete
      */
-    public int parseLongValueHead(byte[] source, int from, int to) throws ProtocolException {
+    public int parseValueHead(byte[] source, int from, int to) throws ProtocolException {
         setSource(source, from, to);
         if (position >= limit || bytes[position] != '*') {
             return 0;
@@ -228,16 +227,21 @@
             return 0;
         }
         elementCount = (int) count;
-        longValueBytes = isNegativeLength() ? 0 : parseLength();
-        if (longValueBytes <= MAX_BULK_BYTES) {
+        valueBytes = isNegativeLength() ? -1 : parseLength();
+        if (valueBytes < 0) {
             return 0;
         }
-        if (longValueBytes > MAX_LONG_BULK_BYTES) {
+        if (valueBytes > MAX_LONG_BULK_BYTES) {
             throw new ProtocolException("a value of at most " + MAX_LONG_BULK_BYTES + " bytes");
         }
         return position - from;
     }
 
+    /** Whether the value of a parsed head is too long to be parsed in one piece. */
+    public boolean isLongValue() {
+        return valueBytes > MAX_BULK_BYTES;
+    }
+
     /**
      * After {@link #parse} returned 0: the length of the complete command if it has a long body,
      * otherwise 0.
@@ -246,8 +250,8 @@
         return requiredBytes;
     }
 
-    public long longValueBytes() {
-        return longValueBytes;
+    public long valueBytes() {
+        return valueBytes;
     }
 
     /**
--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -20,9 +20,6 @@
     /** The next part of a long command is written once at most this many bytes are unwritten. */
     private static final int WRITE_RESUME_BYTES = 8 << 10;
 
-    /** A response shows within this many bytes whether it carries a long value. */
-    private static final int STREAM_HEAD_BYTES = 16;
-
     private static final int STREAM_BUFFER_BYTES = 16 << 10;
     private static final double STREAM_CHECK_INTERVAL_MS = 2500;
 
@@ -198,16 +195,16 @@
      * @return false if the received bytes are not the beginning of a long value
      */
     private boolean startStreamIfLong() throws ProtocolException {
-        if (attempt == null || buffer.unreadBytes() <= STREAM_HEAD_BYTES) {
+        if (attempt == null) {
             return false;
         }
         RespReader reader = pool.respReader;
         int headLength =
-                reader.parseLongValueHead(buffer.bytes(), buffer.readIndex(), buffer.readLimit());
-        if (headLength <= 0) {
+                reader.parseValueHead(buffer.bytes(), buffer.readIndex(), buffer.readLimit());
+        if (headLength == 0 || !reader.isLongValue()) {
             return false;
         }
-        startStream(headLength, reader.longValueBytes(), reader.elementCount());
+        startStream(headLength, reader.valueBytes(), reader.elementCount());
         return true;
     }
 
--- a/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -7,8 +7,12 @@
 
 import java.net.Socket;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import tinford.api.Request;
+import tinford.routing.RoutingFixtures;
+import tinford.routing.client.ClientRequest;
 import tinford.testing.Eventually;
 
 /**
@@ -22,6 +26,7 @@
     private static final String ANSWER_LONG =
             "$" + VALUE_BYTES + "\r\n" + "x".repeat(VALUE_BYTES) + "\r\n";
     private static final String LONG = "*1\r\n" + ANSWER_LONG;
+    private static final int LONG_HEAD_BYTES = ("*1\r\n$" + VALUE_BYTES + "\r\n").length();
     private static final int FIRST_PIECE_BYTES = 200;
     private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
     private static final int SLOWLY_READ_BYTES = 4 << 20;
@@ -122,4 +127,45 @@
         }
         ping();
     }
+
+    @DataProvider
+    public Object[][] firstPieces() {
+        Object[][] lengths = new Object[LONG_HEAD_BYTES + 5][];
+        for (int i = 0; i < lengths.length; i++) {
+            lengths[i] = new Object[] {i + 1};
+        }
+        return lengths;
+    }
+
+    /** A long value was rejected as malformed if its first piece ended right behind its head. */
+    @Test(dataProvider = "firstPieces")
+    public void longValueIsStreamedHoweverShortItsFirstPiece(int firstPieceBytes) throws Exception {
+        Request request = request(1);
+        sendAttempt(request);
+        Socket socket = acceptCommand(1);
+        write(socket, LONG.substring(0, firstPieceBytes));
+        awaitFirstBytes(request);
+        write(socket, LONG.substring(firstPieceBytes));
+        assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
+        ping();
+    }
+
+    /** Waits until the gateway has handled the first bytes of the response to a request. */
+    private void awaitFirstBytes(Request request) throws Exception {
+        ClientRequest pending = (ClientRequest) request;
+        ServerConnection connection = pending.attempt(0).connection;
+        AtomicBoolean received = new AtomicBoolean();
+        Eventually.await(
+                "the first bytes of a response",
+                () -> {
+                    RoutingFixtures.runInBatch(
+                            dispatcher,
+                            () ->
+                                    received.set(
+                                            pending.isFinished()
+                                                    || !connection.hasNoPendingInput()));
+                    return received.get();
+                });
+        runBatch();
+    }
 }
