Acknowledge a server's response at once, so that a second copy comes before the reuse

Cause: a server without TCP_NODELAY writes a second copy right behind its answer; its system holds the copy back until the answer is acknowledged, which the gateway's system does up to 40 ms later or with the next command. A connection that had been silent for 10 ms was used again, and the copy came with the next command. Trace, a print in ServerConnection.readResponse of: the connections had been idle for 10.3 to 42.5 ms, and the first foreign response of a series came 0.12 to 0.26 ms after its command.

Change: a response that leaves its connection reusable, or that is there only in part, is acknowledged at once (TCP_QUICKACK, one system call a response). The copy comes within the 10 ms, and the connection is closed as before.

Before: ServerResponseTest.secondResponseThatIsHeldBackIsNotTakenForThatOfTheNextAttempt, "Accept timed out" (the command went out on the old connection). With it ServerResponseTest and StreamedResponseTest pass.

A second answer that the server itself writes over 10 ms late is still taken for the next one (docs/ROADMAP.md, Open).

--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -160,6 +160,7 @@
             throw new ProtocolException("no data while no command is in flight");
         }
         if (length == 0) {
+            acknowledge(); // the server's system may hold back the rest
             startResponseTimeout();
             return;
         }
@@ -322,6 +323,9 @@
         buffer.consume(length);
         clearAttempt();
         if (reusable) {
+            // What the server has written behind the response arrives now, and not with the next
+            // command's response.
+            acknowledge();
             pool.release(this);
         } else {
             close(CloseReason.CLOSED_IDLE);
--- a/gateway/src/main/java/tinford/routing/upstream/ServerPool.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerPool.java
@@ -19,7 +19,8 @@
 public final class ServerPool {
     /**
      * Time for which a connection must be idle before it is reused. Data that the server sent after
-     * a response has arrived by then, so that it is not taken for the next response.
+     * a response has arrived by then, so that it is not taken for the next response: the response
+     * is acknowledged at once, so the server's system does not hold the data back.
      */
     private static final double REUSE_DELAY_MS = 10;
 
--- a/gateway/src/main/java/tinford/transport/Connection.java
+++ b/gateway/src/main/java/tinford/transport/Connection.java
@@ -6,6 +6,7 @@
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.nio.QuickAck;
 
 /**
  * A TCP connection that this process accepted or opened. Subclasses implement the callbacks, which
@@ -192,6 +193,21 @@
         return isClosed() || pendingCloseReason != null;
     }
 
+    /**
+     * Acknowledges the received bytes at once, so that the peer's system does not hold back what
+     * follows.
+     */
+    protected final void acknowledge() {
+        if (!isOpen() || isClosedOrClosing()) {
+            return;
+        }
+        try {
+            QuickAck.send(connection);
+        } catch (IOException e) {
+            fail(CloseReason.IO_ERROR);
+        }
+    }
+
     private void onWritable() {
         connection.getSinkChannel().suspendWrites();
         try {
--- a/gateway/src/test/java/tinford/routing/upstream/ServerResponseFixture.java
+++ b/gateway/src/test/java/tinford/routing/upstream/ServerResponseFixture.java
@@ -136,14 +136,31 @@
         Socket socket = serverSocket.accept();
         socket.setSoTimeout(10_000);
         resources.add(socket);
-        StringBuilder command = new StringBuilder();
+        readCommand(socket, id);
+        return socket;
+    }
+
+    /** Reads the command with the id, which is the next one that the server receives. */
+    static void readCommand(Socket socket, int id) throws IOException {
+        String command = readLines(socket, COMMAND_LINES);
+        assertTrue(command.contains("000000000000000" + id), command);
+    }
+
+    /** Sends an attempt of the request that waits for its response as long as the request does. */
+    void sendAttempt(Request request) {
+        dispatcher
+                .loop()
+                .execute(() -> dispatcher.sendAttempt(request, server, 0, NO_SEND_DEADLINE_MS));
+    }
+
+    private static String readLines(Socket socket, int count) throws IOException {
+        StringBuilder text = new StringBuilder();
         int lines = 0;
-        while (lines < COMMAND_LINES) {
-            command.append(read(socket, 1));
-            lines += command.charAt(command.length() - 1) == '\n' ? 1 : 0;
+        while (lines < count) {
+            text.append(read(socket, 1));
+            lines += text.charAt(text.length() - 1) == '\n' ? 1 : 0;
         }
-        assertTrue(command.indexOf("000000000000000" + id) > 0, command.toString());
-        return socket;
+        return text.toString();
     }
 
     /** Sends a PING, and checks that its answer is the next data that the client receives. */
--- a/gateway/src/test/java/tinford/routing/upstream/ServerResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/ServerResponseTest.java
@@ -5,6 +5,7 @@
 import static tinford.routing.RoutingFixtures.read;
 import static tinford.routing.RoutingFixtures.write;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
 import org.testng.annotations.DataProvider;
@@ -101,10 +102,7 @@
         Socket socket = acceptCommand(1);
         write(socket, ONE);
         assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
-        long restedAt = System.nanoTime() + REUSE_DELAY_NANOS;
-        while (System.nanoTime() < restedAt) {
-            ping();
-        }
+        awaitConnectionReuse();
         Request second = request(2);
         dispatcher
                 .loop()
@@ -121,4 +119,40 @@
         String success = AttemptOutcome.SUCCESS + " closed";
         assertEquals(ended, List.of(success, success));
     }
+
+    private void awaitConnectionReuse() throws IOException {
+        long restedAt = System.nanoTime() + REUSE_DELAY_NANOS;
+        while (System.nanoTime() < restedAt) {
+            ping();
+        }
+    }
+
+    /**
+     * The server's system holds a second response back until the first one is acknowledged. It came
+     * with the response to the next request, which was answered with the value of the one before.
+     */
+    @Test
+    public void secondResponseThatIsHeldBackIsNotTakenForThatOfTheNextAttempt() throws Exception {
+        sendAttempt(request(1));
+        Socket socket = acceptCommand(1);
+        for (int id = 2; id <= 5; id++) {
+            answerOne(socket);
+            awaitConnectionReuse();
+            sendAttempt(request(id));
+            readCommand(socket, id);
+        }
+        write(socket, ONE);
+        write(socket, ONE);
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+        awaitConnectionReuse();
+        sendAttempt(request(6));
+        Socket next = acceptCommand(6);
+        write(next, ONE.replace("one", "two"));
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE.replace("one", "two"));
+    }
+
+    private void answerOne(Socket socket) throws IOException {
+        write(socket, ONE);
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+    }
 }
--- a/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -33,12 +33,6 @@
     private static final int BYTES_PER_SECOND = 10_000;
     private static final int CHECKS_PER_SECOND = 4;
 
-    private void sendAttempt(Request request) {
-        dispatcher
-                .loop()
-                .execute(() -> dispatcher.sendAttempt(request, server, 0, NO_SEND_DEADLINE_MS));
-    }
-
     /** A value that waits for its turn was dropped after 10 s, as if its server had stalled. */
     @Test
     public void valueThatWaitsForItsTurnIsNotStalled() throws Exception {
