Acknowledge an incomplete response of the counter at once

What callers saw: with a counter without TCP_NODELAY that writes a total in two calls, no total: its system holds the second call back until the first is acknowledged, up to 40 ms later, and the gateway replaced the connection after 10 ms. The amount counted as added, the calls behind it as perhaps added.

An incomplete response is acknowledged at once; the 10 ms stay.

Before: CounterClientTest.responseInTwoWritesIsRead, "expected [1 SUCCESS 4.0] but found [1 CONNECTION_LOST 0.0]"; with it the class passes.

--- a/gateway/src/main/java/tinford/routing/counter/CounterConnection.java
+++ b/gateway/src/main/java/tinford/routing/counter/CounterConnection.java
@@ -172,6 +172,7 @@
             throw new ProtocolException("a response of at most " + MAX_RESPONSE_BYTES + " bytes");
         }
         if (buffer.unreadBytes() > 0 && partialTimeout == null) {
+            acknowledge(); // the counter's system may hold back the rest
             partialTimeout =
                     loop.schedule(
                             PARTIAL_RESPONSE_TIMEOUT_MS, () -> close(CloseReason.PROTOCOL_ERROR));
--- a/gateway/src/test/java/tinford/routing/counter/CounterClientTest.java
+++ b/gateway/src/test/java/tinford/routing/counter/CounterClientTest.java
@@ -89,6 +89,27 @@
         }
     }
 
+    /**
+     * The counter's system holds the second write back until the first one is acknowledged: the
+     * response was rejected as incomplete, and the connection replaced.
+     */
+    @Test
+    public void responseInTwoWritesIsRead() throws Exception {
+        try (ServerSocket counter = new ServerSocket(0, 1, LOOPBACK)) {
+            CounterClient client = client(counter.getLocalPort(), LONG_MS, LONG_MS);
+            increment(client, 1, 1);
+            try (Socket socket = counter.accept()) {
+                for (int i = 0; i < 8; i++) {
+                    read(socket, COMMAND_LENGTH);
+                    write(socket, "$1\r\n");
+                    write(socket, "4\r\n");
+                    assertEquals(nextReport(), "1 " + AttemptOutcome.SUCCESS + " 4.0");
+                    increment(client, 1, 1);
+                }
+            }
+        }
+    }
+
     /** Responses due from the old address are awaited before calls are sent to the new address. */
     @Test
     public void moveKeepsTheOrderOfResponses() throws Exception {
