Close a client's connection when writing its response fails

Cause: the response is written in the task of the server's connection, and a failed task closes the connection it belongs to, the server's. The client's kept a taken place, or half a response. It is closed now. A value that can't be kept for its turn fails as before: nothing of it is written, and the decisions answer its request. That kept responses can exhaust the heap is not mended by this.

Before: ResponseFailureTest.connectionWhoseResponseFailsIsClosed, "Read timed out" after 20 s. With it that class, DecisionFailureTest, SlowReaderTest and the tests of client connections pass.

--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -384,16 +384,31 @@
 
     /** Answers with a line. The line is given without its line end. */
     void answerLine(ResponseSlot slot, String line) {
-        if (responses.putLine(slot, line)) {
-            completeResponse();
-        } else {
-            awaitDrainIfCongested();
+        try {
+            continueAfter(responses.putLine(slot, line));
+        } catch (RuntimeException | Error e) {
+            closeFailed(e);
         }
     }
 
-    /** Answers with a value. The bytes are copied. */
+    /**
+     * Answers with a value. The bytes are copied. If the value can't be kept until its turn, this
+     * throws, and the request can still be answered otherwise.
+     */
     void answerValue(ResponseSlot slot, byte[] value, int from, int length) {
-        if (responses.putValue(slot, value, from, length)) {
+        boolean isNext = isNextToAnswer(slot);
+        try {
+            continueAfter(responses.putValue(slot, value, from, length));
+        } catch (RuntimeException | Error e) {
+            if (!isNext) {
+                throw e;
+            }
+            closeFailed(e); // a part of the value may have been written
+        }
+    }
+
+    private void continueAfter(boolean isWritten) {
+        if (isWritten) {
             completeResponse();
         } else {
             awaitDrainIfCongested();
--- a/gateway/src/main/java/tinford/transport/Connection.java
+++ b/gateway/src/main/java/tinford/transport/Connection.java
@@ -319,6 +319,14 @@
         }
     }
 
+    /**
+     * Closes the connection in the next batch, after a failure that left it in an unknown state in
+     * a task of something else.
+     */
+    protected final void closeFailed(Throwable failure) {
+        loop.closeFailed(this, failure);
+    }
+
     /** Closes the connection after a failed event, so that nothing keeps waiting for it. */
     @Override
     public final void abort() {
