--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -15,11 +15,6 @@
     /** Time to wait for the rest of a partial command; clients may take 2 s to send one. */
     private static final double PARTIAL_COMMAND_TIMEOUT_MS = 2300;
 
-    private static final double MAX_JUST_OPENED_MS = 250;
-
-    /** How long a client may accept nothing of a response that is to be written. */
-    private static final double UNREAD_RESPONSE_TIMEOUT_MS = 20_000;
-
     /** Not reached, because {@link WriteBackpressure} stops before. */
     private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
 
@@ -28,16 +23,13 @@
      */
     private static final int MAX_UNANSWERED_COMMANDS = 64;
 
-    private static final ProtocolException UNREAD_RESPONSE =
-            new ProtocolException(
-                    "a client that reads within " + (long) UNREAD_RESPONSE_TIMEOUT_MS + " ms");
-
     /** Response to a command that was not executed, so that the client may send it again. */
     private static final String REJECTED = "-BUSY";
 
     private final ClientPool pool;
     private final ResponseQueue responses;
     private final WriteBackpressure backpressure;
+    private final WriteProgress writeProgress;
 
     /**
      * Reason for closing the connection once all commands are answered, or null to keep it open.
@@ -73,19 +65,13 @@
     /** Whether no command is read until the client has accepted its responses. */
     private boolean areCommandsPaused;
 
-    /** Number of bytes that the client had accepted at {@link #lastWriteProgressMs}. */
-    private long lastWrittenBytes;
-
-    /** Time at which the client was last seen to accept bytes, or to have accepted all. */
-    private double lastWriteProgressMs;
-
     ClientConnection(ClientPool pool) {
         super(pool.context.loop(), RespReader.MAX_COMMAND_BYTES, MAX_UNWRITTEN_BYTES);
         this.pool = pool;
         this.backpressure = new WriteBackpressure(buffer, loop.bufferBudget());
         this.responses = new ResponseQueue(pool, buffer, backpressure);
         this.lastUseMs = pool.context.nowMs();
-        this.lastWriteProgressMs = lastUseMs;
+        this.writeProgress = new WriteProgress(buffer, lastUseMs);
         this.acceptedWhileDraining = pool.isDraining();
     }
 
@@ -102,18 +88,9 @@
         if (!isIdle() || buffer.unwrittenBytes() > 0) {
             return ConnectionActivity.BUSY;
         }
-        if (pendingClose != null) {
-            return ConnectionActivity.CLOSING;
-        }
-        double quietMs = nowMs - lastUseMs;
-        if (commandReceived) {
-            return quietMs >= FIRST_COMMAND_TIMEOUT_MS
-                    ? ConnectionActivity.IDLE
-                    : ConnectionActivity.RECENTLY_USED;
-        }
-        return quietMs >= MAX_JUST_OPENED_MS
-                ? ConnectionActivity.NEVER_USED
-                : ConnectionActivity.JUST_OPENED;
+        return pendingClose != null
+                ? ConnectionActivity.CLOSING
+                : ConnectionActivity.ofIdle(commandReceived, nowMs - lastUseMs);
     }
 
     /** Whether the connection has received a command, and is now between requests. */
@@ -150,7 +127,7 @@
                 more = discardBytes == 0 && !pauseCommandsIfCongested() && readCommand();
             }
         } catch (ProtocolException e) {
-            rejectAsMalformed(e);
+            closeWithLine("-ERR " + e.getMessage());
         }
     }
 
@@ -159,23 +136,14 @@
      * with the client. The rest of a partial command is still read, within its own timeout.
      */
     private boolean pauseCommandsIfCongested() {
-        if (partialSinceMs > 0 || !backpressure.isActive()) {
+        if (partialSinceMs > 0 || !awaitDrainIfCongested()) {
             return false;
         }
         areCommandsPaused = true;
         suspendReadsExceptPolls();
-        awaitDrain(backpressure.resumeBytes());
         return true;
     }
 
-    private void resumeCommands() {
-        if (areCommandsPaused && !backpressure.isActive()) {
-            areCommandsPaused = false;
-            resumeReads();
-            onReceived();
-        }
-    }
-
     /** Reads the next command; returns false if none is complete. */
     private boolean readCommand() throws ProtocolException {
         RespReader reader = pool.respReader;
@@ -236,11 +204,6 @@
         discardRejectedCommand();
     }
 
-    /** Frees the buffer of a partial long command, before its reservation is passed to another. */
-    private void discardUnread() {
-        buffer.consume(buffer.unreadBytes());
-    }
-
     private void discardRejectedCommand() {
         int length = Math.min(discardBytes, buffer.unreadBytes());
         discardBytes -= length;
@@ -277,15 +240,11 @@
     }
 
     /**
-     * Sends an error line after the outstanding responses, and then closes the connection: the
-     * input behind a malformed command cannot be parsed.
+     * Sends a line after the outstanding responses, and then closes the connection: the input
+     * behind a malformed command cannot be parsed.
      */
-    private void rejectAsMalformed(ProtocolException cause) {
-        closeWithLine("-ERR " + cause.getMessage());
-    }
-
     private void closeWithLine(String line) {
-        discardUnread();
+        buffer.consume(buffer.unreadBytes()); // before its reservation is passed to another
         releaseBuffer();
         answerLine(newSlot(), line);
         discardInput();
@@ -294,7 +253,11 @@
 
     /** Enforces the timeouts for idle connections, partial commands and unread responses. */
     void checkTimeouts(double nowMs) {
-        trackWriteProgress(nowMs);
+        if (buffer.unwrittenBytes() > 0) {
+            // The system reports a socket as writable only once a third of its buffer is free,
+            // which takes long if the client reads slowly.
+            scheduleFlush();
+        }
         boolean malformed = pendingClose == CloseReason.PROTOCOL_ERROR;
         boolean partialTooLong = nowMs - partialSinceMs >= PARTIAL_COMMAND_TIMEOUT_MS;
         double quietMs = nowMs - lastUseMs;
@@ -302,30 +265,18 @@
             closeWithLine(REJECTED);
         } else if (!malformed && partialSinceMs > 0 && partialTooLong) {
             long limitMs = (long) PARTIAL_COMMAND_TIMEOUT_MS;
-            rejectAsMalformed(new ProtocolException("a whole command within " + limitMs + " ms"));
-        } else if (nowMs - lastWriteProgressMs >= UNREAD_RESPONSE_TIMEOUT_MS) {
+            closeWithLine("-ERR expected a whole command within " + limitMs + " ms");
+        } else if (writeProgress.isStalled(nowMs)) {
             pool.context.warn(
                     "client reads no responses",
                     "unwritten=" + buffer.unwrittenBytes(),
-                    UNREAD_RESPONSE);
+                    WriteProgress.UNREAD_RESPONSE);
             close(CloseReason.BUFFER_LIMIT_EXCEEDED);
         } else if (pendingClose == null && isIdle() && quietMs >= idleTimeoutMs()) {
             closeIfQuiet();
         }
     }
 
-    private void trackWriteProgress(double nowMs) {
-        if (buffer.unwrittenBytes() == 0 || buffer.writtenBytes() != lastWrittenBytes) {
-            lastWrittenBytes = buffer.writtenBytes();
-            lastWriteProgressMs = nowMs;
-        }
-        if (buffer.unwrittenBytes() > 0) {
-            // The system reports a socket as writable only once a third of its buffer is free,
-            // which takes long if the client reads slowly.
-            scheduleFlush();
-        }
-    }
-
     private double idleTimeoutMs() {
         return commandReceived ? pool.limits.idleTimeoutMs() : FIRST_COMMAND_TIMEOUT_MS;
     }
@@ -454,8 +405,10 @@
         } else {
             resumeSource();
         }
-        if (!isClosed()) {
-            resumeCommands();
+        if (areCommandsPaused && !isClosed() && !backpressure.isActive()) {
+            areCommandsPaused = false;
+            resumeReads();
+            onReceived();
         }
     }
 
@@ -531,11 +484,7 @@
 
     /** Answers all open requests and rejects a partial command, as the process is about to end. */
     void terminate() {
-        for (ResponseSlot slot = responses.first(); slot != null; slot = slot.next) {
-            if (slot.request != null && !slot.request.isFinished()) {
-                pool.terminate(slot.request);
-            }
-        }
+        responses.terminateOpenRequests();
         if (!isClosed() && pendingClose != CloseReason.PROTOCOL_ERROR && partialSinceMs > 0) {
             closeWithLine(REJECTED);
         }
@@ -543,18 +492,9 @@
 
     @Override
     protected void onClosed(CloseReason reason) {
-        discardUnread();
+        buffer.consume(buffer.unreadBytes());
         pool.connectionClosed(this);
         releaseBuffer();
-        for (ResponseSlot slot = responses.first(); slot != null; slot = slot.next) {
-            if (slot.response != null) {
-                pool.addHeldBytes(-slot.response.length);
-            } else if (slot.source != null) {
-                slot.source.close(CloseReason.CANCELLED);
-            } else if (slot.request != null && !slot.request.isFinished()) {
-                pool.clientDisconnected(slot.request);
-            }
-        }
-        responses.clear();
+        responses.abandon();
     }
 }
--- a/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
+++ b/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import tinford.transport.CloseReason;
 import tinford.transport.ConnectionBuffer;
 
 /**
@@ -127,7 +128,26 @@
         first = first.next;
     }
 
-    void clear() {
+    /** Gives each request without a final answer one, as the process is about to end. */
+    void terminateOpenRequests() {
+        for (ResponseSlot slot = first; slot != null; slot = slot.next) {
+            if (slot.request != null && !slot.request.isFinished()) {
+                pool.terminate(slot.request);
+            }
+        }
+    }
+
+    /** Drops all responses, whose client has disconnected. */
+    void abandon() {
+        for (ResponseSlot slot = first; slot != null; slot = slot.next) {
+            if (slot.response != null) {
+                pool.addHeldBytes(-slot.response.length);
+            } else if (slot.source != null) {
+                slot.source.close(CloseReason.CANCELLED);
+            } else if (slot.request != null && !slot.request.isFinished()) {
+                pool.clientDisconnected(slot.request);
+            }
+        }
         size = 0;
         first = null;
     }
