RestartTest: a client that does not read is owed more than the system buffers

Its premise is a value that is cut off since nobody reads it. The test asks for two values, which it can't take; the bounds stay.

--- a/gateway/src/test/java/tinford/program/RestartTest.java
+++ b/gateway/src/test/java/tinford/program/RestartTest.java
@@ -174,14 +174,19 @@
         assertEquals(gateway.exitValue(), 0);
     }
 
-    /** Its answer is a long value, which is cut off when its client timeout is over. */
+    /**
+     * Its answers are long values, together longer than what the system buffers for a connection.
+     * They are cut off when the client timeout is over.
+     */
     @Test
     public void clientThatDoesNotReadDoesNotDelayTheExit() throws Exception {
         TestConnection client = startGateway("\"HardLimitUs\":4000000", "\"HardLimitUs\":1000000");
-        client.send(readCommand(1));
-        TestConnection server = accept(servers[0]);
-        server.receive();
-        startDaemon(() -> server.send(valueReply("x".repeat(4 << 20))));
+        client.send(readCommand(1) + readCommand(2));
+        for (int i = 0; i < 2; i++) {
+            TestConnection server = accept(servers[0]);
+            server.receive();
+            startDaemon(() -> server.send(valueReply("x".repeat(4 << 20))));
+        }
         assertEquals(client.readLine(), "$" + (4 << 20));
         sendSigterm();
         assertTrue(gateway.waitFor(TIMEOUT_MS, TimeUnit.MILLISECONDS));
