Log every end of a client's connection by the gateway with answers unwritten

The postmortem on slow readers asks for a line that would have shown the fault; the warning there was covered only the 20 s in which a client accepts nothing, not an exceeded limit, the 50 ms after a malformed command, or a failure. One warning, with bytes and reason, takes its place.

StreamedResponseTest: three tests share their setup now; what they check is the same. That class, ServerResponseTest, SlowReaderTest, ResponseFailureTest, the tests of connections and of the architecture pass. The warning itself has no test.

--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -267,10 +267,6 @@
             long limitMs = (long) PARTIAL_COMMAND_TIMEOUT_MS;
             closeWithLine("-ERR expected a whole command within " + limitMs + " ms");
         } else if (writeProgress.isStalled(nowMs)) {
-            pool.context.warn(
-                    "client reads no responses",
-                    "unwritten=" + buffer.unwrittenBytes(),
-                    WriteProgress.UNREAD_RESPONSE);
             close(CloseReason.BUFFER_LIMIT_EXCEEDED);
         } else if (pendingClose == null && isIdle() && quietMs >= idleTimeoutMs()) {
             closeIfQuiet();
@@ -492,6 +488,7 @@
 
     @Override
     protected void onClosed(CloseReason reason) {
+        writeProgress.warnIfUnwritten(pool.context, reason);
         buffer.consume(buffer.unreadBytes());
         pool.connectionClosed(this);
         releaseBuffer();
--- a/gateway/src/main/java/tinford/routing/client/WriteProgress.java
+++ b/gateway/src/main/java/tinford/routing/client/WriteProgress.java
@@ -1,6 +1,8 @@
 package tinford.routing.client;
 
 import tinford.protocol.ProtocolException;
+import tinford.routing.RoutingContext;
+import tinford.transport.CloseReason;
 import tinford.transport.ConnectionBuffer;
 
 /** Observes whether a client accepts the responses that are written to its connection. */
@@ -8,11 +10,6 @@
     /** How long a client may accept nothing of a response that is to be written. */
     private static final double UNREAD_RESPONSE_TIMEOUT_MS = 20_000;
 
-    /** What is logged when a connection ends after that time. */
-    static final ProtocolException UNREAD_RESPONSE =
-            new ProtocolException(
-                    "a client that reads within " + (long) UNREAD_RESPONSE_TIMEOUT_MS + " ms");
-
     private final ConnectionBuffer buffer;
 
     /** Number of bytes that the client had accepted at {@link #lastProgressMs}. */
@@ -34,4 +31,18 @@
         }
         return nowMs - lastProgressMs >= UNREAD_RESPONSE_TIMEOUT_MS;
     }
+
+    /**
+     * Logs that this process ends the connection although its client has not accepted all bytes.
+     */
+    void warnIfUnwritten(RoutingContext context, CloseReason reason) {
+        boolean endedByPeer =
+                reason == CloseReason.CLOSED_BY_PEER || reason == CloseReason.IO_ERROR;
+        if (buffer.unwrittenBytes() > 0 && !endedByPeer) {
+            context.warn(
+                    "client connection ended with unwritten responses",
+                    "bytes=" + buffer.unwrittenBytes(),
+                    new ProtocolException("a client that reads them, not " + reason));
+        }
+    }
 }
--- a/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
+++ b/gateway/src/test/java/tinford/routing/upstream/StreamedResponseTest.java
@@ -37,43 +37,56 @@
     /** Time for the sockets, which are real, within a quarter of a simulated second. */
     private static final long SOCKET_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
-    /** A value that waits for its turn was dropped after 10 s, as if its server had stalled. */
-    @Test
-    public void valueThatWaitsForItsTurnIsNotStalled() throws Exception {
+    private Request second;
+    private Socket serverOfFirst;
+    private Socket serverOfSecond;
+
+    private void sendTwoRequests() throws Exception {
         Request first = request(1);
-        Request second = request(2);
+        second = request(2);
         sendAttempt(first);
-        Socket slow = acceptCommand(1);
+        serverOfFirst = acceptCommand(1);
         sendAttempt(second);
-        Socket waiting = acceptCommand(2);
-        write(waiting, LONG.substring(0, FIRST_PIECE_BYTES));
+        serverOfSecond = acceptCommand(2);
+    }
+
+    private void startValueOfSecond() throws Exception {
+        write(serverOfSecond, LONG.substring(0, FIRST_PIECE_BYTES));
         awaitResponseStart(second);
+    }
+
+    private void answerFirst() throws Exception {
+        write(serverOfFirst, ONE);
+        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+    }
+
+    private void finishValueOfSecond() throws Exception {
+        write(serverOfSecond, LONG.substring(FIRST_PIECE_BYTES));
+        assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
+        ping();
+    }
+
+    /** A value that waits for its turn was dropped after 10 s, as if its server had stalled. */
+    @Test
+    public void valueThatWaitsForItsTurnIsNotStalled() throws Exception {
+        sendTwoRequests();
+        startValueOfSecond();
         for (int i = 0; i < 20; i++) {
             nanoTime.addAndGet(TimeUnit.SECONDS.toNanos(1));
             runBatch();
         }
-        write(slow, ONE);
-        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
-        write(waiting, LONG.substring(FIRST_PIECE_BYTES));
-        assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
-        ping();
+        answerFirst();
+        finishValueOfSecond();
     }
 
     /** The request is answered whatever closes the server's connection before its turn. */
     @Test
     public void valueThatIsInterruptedBeforeItsTurnIsAnsweredAsAborted() throws Exception {
-        Request first = request(1);
-        Request second = request(2);
-        sendAttempt(first);
-        Socket slow = acceptCommand(1);
-        sendAttempt(second);
-        Socket waiting = acceptCommand(2);
-        write(waiting, LONG.substring(0, FIRST_PIECE_BYTES));
-        awaitResponseStart(second);
+        sendTwoRequests();
+        startValueOfSecond();
         dispatcher.loop().execute(() -> dispatcher.cancelAttempt(second, 0));
         runBatch();
-        write(slow, ONE);
-        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
+        answerFirst();
         assertEquals(read(client, ABORTED.length()), ABORTED);
         ping();
     }
@@ -81,23 +94,14 @@
     /** The end of a hedged request's other attempt detached the value from its client. */
     @Test
     public void valueIsForwardedAfterAnotherAttemptHasEnded() throws Exception {
-        Request first = request(1);
-        Request second = request(2);
-        sendAttempt(first);
-        Socket slow = acceptCommand(1);
-        sendAttempt(second);
-        Socket waiting = acceptCommand(2);
+        sendTwoRequests();
         sendAttempt(second);
         Socket hedge = acceptCommand(2);
-        write(waiting, LONG.substring(0, FIRST_PIECE_BYTES));
-        awaitResponseStart(second);
+        startValueOfSecond();
         hedge.close();
         Eventually.await("the end of the other attempt", () -> !ended.isEmpty());
-        write(slow, ONE);
-        assertEquals(read(client, ANSWER_ONE.length()), ANSWER_ONE);
-        write(waiting, LONG.substring(FIRST_PIECE_BYTES));
-        assertEquals(read(client, ANSWER_LONG.length()), ANSWER_LONG);
-        ping();
+        answerFirst();
+        finishValueOfSecond();
     }
 
     /**
