--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,7 +10,6 @@
 import shutil
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -119,14 +118,12 @@
 
 
 class Discovery:
-    """Tells lists as an agent on the gateway's machine does."""
+    """Tells the list of servers, which never changes, as an agent on the gateway's machine does."""
 
     def __init__(self, record):
         self.record = record
         self.seq = 1
         self.hosts = {}
-        self.changes = []
-        self.watches = set()
         self.address = None
 
     async def start(self):
@@ -134,12 +131,6 @@
         self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         return self
 
-    def list_text(self, after):
-        if not after:
-            return self.whole()
-        entries = {entry["host"]: entry for seq, entry in self.changes if seq > after}
-        return json.dumps({"seq": self.seq, "whole": False, "hosts": list(entries.values())})
-
     def whole(self):
         return json.dumps({"seq": self.seq, "whole": True, "hosts": list(self.hosts.values())})
 
@@ -155,10 +146,9 @@
                 return
             after = int(path.split("after=")[1].split("&")[0]) if "after=" in path else 0
             if after < self.seq:
-                self.chunk(writer, self.list_text(after) + "\n")
+                self.chunk(writer, self.whole() + "\n")
             else:
                 self.chunk(writer, "\n")
-            self.watches.add(writer)
             while True:
                 await asyncio.sleep(1.9)
                 self.chunk(writer, "\n")
@@ -166,7 +156,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
-            self.watches.discard(writer)
             writer.close()
 
     @staticmethod
@@ -178,19 +167,6 @@
         """Lists a server from the start."""
         self.hosts[server.name] = server.entry()
 
-    def put(self, entry):
-        """Changes an entry; watches are told at once."""
-        self.seq += 1
-        if entry["health"] == "gone":
-            self.hosts.pop(entry["host"], None)
-        else:
-            self.hosts[entry["host"]] = entry
-        self.changes.append((self.seq, entry))
-        line = json.dumps({"seq": self.seq, "whole": False, "hosts": [entry]}) + "\n"
-        for watch in list(self.watches):
-            self.chunk(watch, line)
-        self.record.note("discovery tells %s" % line.strip())
-
 
 class Counter:
     """Adds and tells totals."""
@@ -254,7 +230,6 @@
         self.work_s = work_s
         self.cell = cell
         self.runs = []
-        self.connections = set()
         self.address = None
         self.listener = None
 
@@ -270,7 +245,6 @@
                 "health": health, "share": 1.0, "born_ms": born_ms}
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
         try:
             while True:
                 words = await read_command(reader)
@@ -285,7 +259,6 @@
         except (Closed, ConnectionError, OSError):
             pass
         finally:
-            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, run, writer):
@@ -299,21 +272,6 @@
     def write_value(writer, value):
         writer.write(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value))
 
-    def reset_connections(self):
-        for writer in list(self.connections):
-            reset(writer)
-
-
-def reset(writer):
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        try:
-            import struct
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        except OSError:
-            pass
-    writer.transport.abort()
-
 
 def request_class(name, effect="read_like", group="all", target_ms=2000, timeout_ms=8000,
                   window_ms=10000, late=0.0, value=1.0):
