--- a/gateway/src/main/java/tinford/program/GatewayComponents.java
+++ b/gateway/src/main/java/tinford/program/GatewayComponents.java
@@ -90,7 +90,7 @@
         DecisionModule module =
                 SettingsReader.createModule(moduleFactory, configuration.seed(), settings);
         return new RequestDispatcher(
-                module, limits.maxAttempts(), budgets.connections(), budgets.bufferBytes());
+                module, limits.maxAttempts(), budgets.connections(), budgets.memoryBytes());
     }
 
     private ServerPool createServerPool() {
@@ -113,7 +113,6 @@
                         SettingsReader.maxRequestUnits(settings),
                         idleTimeoutMs,
                         SettingsReader.maxOpenRequests(settings),
-                        budgets.bufferBytes(),
                         dispatcher
                                 .loop()
                                 .descriptorBudget()
--- a/gateway/src/main/java/tinford/program/ResourceBudgets.java
+++ b/gateway/src/main/java/tinford/program/ResourceBudgets.java
@@ -7,14 +7,14 @@
  * @param connections all others
  * @param reservedForOtherProcess of these, while another process of the gateway runs
  * @param idleClientThreshold client connections from which on idle ones are closed for new ones
- * @param bufferBytes for the buffers of all connections; open requests have as much again
+ * @param memoryBytes for all that connections make the process hold
  */
 record ResourceBudgets(
         int adminConnections,
         int connections,
         int reservedForOtherProcess,
         int idleClientThreshold,
-        long bufferBytes) {
+        long memoryBytes) {
     /** The jar, the selectors, the listening sockets, the logs. */
     private static final int NON_CONNECTION_DESCRIPTORS = 40;
 
@@ -28,7 +28,7 @@
     private static final int MAX_ADMIN_CONNECTIONS = 24;
     private static final int ADMIN_DIVISOR = 16;
     private static final int IDLE_CLIENT_DIVISOR = 4;
-    private static final int BUFFER_HEAP_DIVISOR = 4;
+    private static final int CONNECTION_HEAP_DIVISOR = 2;
 
     /**
      * The budgets under a configuration.
@@ -49,7 +49,7 @@
                 connections,
                 Math.max(0, connections - whileTwo),
                 sockets / IDLE_CLIENT_DIVISOR,
-                heapBytes / BUFFER_HEAP_DIVISOR);
+                heapBytes / CONNECTION_HEAP_DIVISOR);
     }
 
     private static int adminConnections(int sockets) {
--- a/gateway/src/main/java/tinford/protocol/RespReader.java
+++ b/gateway/src/main/java/tinford/protocol/RespReader.java
@@ -9,7 +9,10 @@
  */
 public final class RespReader {
     private static final int MAX_ELEMENTS = 16;
-    private static final int MAX_LINE_BYTES = 1024;
+
+    /** The maximum length of a line, such as the one with the length of a bulk string. */
+    public static final int MAX_LINE_BYTES = 1024;
+
     private static final int MAX_BULK_BYTES = 64 << 10;
     private static final int MAX_LONG_BULK_BYTES = 4 << 20;
     private static final int MAX_LENGTH_DIGITS = 9;
@@ -128,7 +131,7 @@
         }
         int withLineEnd = (int) length + LINE_END_BYTES;
         if (limit - position < withLineEnd) {
-            requiredBytes = length > MAX_BULK_BYTES ? position - valueStart + withLineEnd : 0;
+            requiredBytes = position - valueStart + withLineEnd;
             return false;
         }
         setElement(i, position, position + (int) length);
@@ -243,8 +246,8 @@
     }
 
     /**
-     * After {@link #parse} returned 0: the length of the complete command if it has a long body,
-     * otherwise 0.
+     * After {@link #parse} returned 0: how many bytes the value needs up to the end of its first
+     * incomplete bulk string, or 0 if that is unknown.
      */
     public int requiredBytes() {
         return requiredBytes;
--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -12,9 +12,6 @@
     /** Time to wait for the first command; an error or a close must follow within 3 s. */
     private static final double FIRST_COMMAND_TIMEOUT_MS = 2000;
 
-    /** Time to wait for the rest of a partial command; clients may take 2 s to send one. */
-    private static final double PARTIAL_COMMAND_TIMEOUT_MS = 2300;
-
     /** Not reached, because {@link WriteBackpressure} stops before. */
     private static final int MAX_UNWRITTEN_BYTES = 1 << 20;
 
@@ -24,10 +21,19 @@
     private static final int MAX_UNANSWERED_COMMANDS = 64;
 
     /** Response to a command that was not executed, so that the client may send it again. */
-    private static final String REJECTED = "-BUSY";
+    static final String REJECTED = "-BUSY";
+
+    static final String PONG = "+PONG";
+
+    /** The next commands of a connection wait until other connections have had a turn. */
+    private static final int MAX_COMMANDS_PER_TURN = 64;
 
     private final ClientPool pool;
-    private final ResponseQueue responses;
+    private final ClientMemory memory;
+    private final IncomingCommand incoming;
+    private final ResponseReservation reservation;
+    private final ArrivalTime arrival;
+    final ResponseQueue responses;
     private final WriteBackpressure backpressure;
     private final WriteProgress writeProgress;
 
@@ -36,18 +42,6 @@
      */
     private CloseReason pendingClose;
 
-    /** Size of a long command that waits for the reservation of a buffer, or 0. */
-    private int awaitedBytes;
-
-    /** Size of the buffer reserved for a long command, or 0. */
-    private int reservedBytes;
-
-    /** Remaining bytes of a command that was rejected unread, which are to be discarded. */
-    private int discardBytes;
-
-    /** Time since which a partial command has been waiting for its rest, or 0. */
-    private double partialSinceMs;
-
     /** Whether it was accepted while this process was draining, from a client that reconnected. */
     private final boolean acceptedWhileDraining;
 
@@ -62,17 +56,22 @@
 
     private double lastUseMs;
 
-    /** Whether no command is read until the client has accepted its responses. */
+    /** Whether no command is read until responses are written or there is memory. */
     private boolean areCommandsPaused;
 
     ClientConnection(ClientPool pool) {
         super(pool.context.loop(), RespReader.MAX_COMMAND_BYTES, MAX_UNWRITTEN_BYTES);
         this.pool = pool;
-        this.backpressure = new WriteBackpressure(buffer, loop.bufferBudget());
-        this.responses = new ResponseQueue(pool, buffer, backpressure);
+        this.memory = new ClientMemory(loop.memoryBudget(), buffer);
+        this.incoming = new IncomingCommand(this, buffer, memory);
+        this.reservation = new ResponseReservation(memory, this::resumeCommands);
+        this.arrival = new ArrivalTime(pool.context);
+        this.backpressure = new WriteBackpressure(buffer, loop.memoryBudget());
+        this.responses = new ResponseQueue(pool, buffer, memory, backpressure);
         this.lastUseMs = pool.context.nowMs();
         this.writeProgress = new WriteProgress(buffer, lastUseMs);
         this.acceptedWhileDraining = pool.isDraining();
+        setReadLimit(incoming.readLimitBytes());
     }
 
     private boolean isIdle() {
@@ -121,122 +120,117 @@
             return;
         }
         try {
-            boolean more = true;
-            while (more && !isClosed() && pendingClose != CloseReason.PROTOCOL_ERROR) {
-                discardRejectedCommand();
-                more = discardBytes == 0 && !pauseCommandsIfCongested() && readCommand();
-            }
+            readCommands();
         } catch (ProtocolException e) {
             closeWithLine("-ERR " + e.getMessage());
         }
     }
 
+    private void readCommands() throws ProtocolException {
+        boolean more = true;
+        int count = 0;
+        while (more && !isClosed() && pendingClose != CloseReason.PROTOCOL_ERROR) {
+            if (count == MAX_COMMANDS_PER_TURN) {
+                arrival.startUnread();
+                continueInNextBatch();
+                return;
+            }
+            count++;
+            more = !incoming.discardRejected() && !pauseCommandsIfCongested() && readCommand();
+        }
+        if (!areCommandsPaused && !incoming.awaitsMemory() && buffer.isInputDrained()) {
+            arrival.endUnread();
+        }
+    }
+
     /**
-     * Reads no further command while the client does not accept its responses, so that those wait
-     * with the client. The rest of a partial command is still read, within its own timeout.
+     * Reads no further command while the client does not accept its responses, or lines that are
+     * kept for it take its share of the memory, so that commands wait with the client. The rest of
+     * a partial command is still read, within its own timeout.
      */
     private boolean pauseCommandsIfCongested() {
-        if (partialSinceMs > 0 || !awaitDrainIfCongested()) {
+        if (incoming.isPartial()) {
             return false;
         }
+        boolean congested = awaitDrainIfCongested();
+        if (congested || memory.budget().exceedsShare(responses.keptLineBytes())) {
+            pauseCommands();
+            return true;
+        }
+        return false;
+    }
+
+    private void pauseCommands() {
         areCommandsPaused = true;
+        arrival.startUnread();
         suspendReadsExceptPolls();
-        return true;
     }
 
-    /** Reads the next command; returns false if none is complete. */
+    private void resumeCommands() {
+        if (areCommandsPaused && !isClosed() && !backpressure.isActive()) {
+            areCommandsPaused = false;
+            resumeReads();
+            continueInNextBatch();
+        }
+    }
+
+    /** Reads the next command; returns false if none is complete or there is no room for it. */
     private boolean readCommand() throws ProtocolException {
         RespReader reader = pool.respReader;
         int length = reader.parse(buffer.bytes(), buffer.readIndex(), buffer.readLimit());
         if (length == 0) {
-            trackPartialCommand(reader.requiredBytes());
+            readOn(reader.requiredBytes());
             return false;
         }
-        partialSinceMs = 0;
-        boolean hasReservedBuffer = reservedBytes > 0;
-        releaseReservation();
-        try {
-            if (!reader.isCommand()) {
-                throw new ProtocolException("an array of bulk strings");
-            }
-            commandReceived = true;
-            lastUseMs = pool.context.nowMs();
-            handle(reader, length, hasReservedBuffer);
-        } finally {
-            // Only now are the command's bytes counted as held, and its buffer is free.
-            pool.commandBuffers.serveWaiting();
-        }
-        return true;
-    }
-
-    private void trackPartialCommand(int neededBytes) {
-        if (buffer.unreadBytes() == 0) {
-            partialSinceMs = 0;
-        } else if (partialSinceMs == 0 || reservedBytes > 0) {
-            partialSinceMs = pool.context.nowMs();
-        }
-        if (neededBytes > 0) {
-            reserveBuffer(neededBytes);
-        }
-    }
-
-    /**
-     * Reserves a buffer for a long command. Until a buffer is available, the connection is not
-     * read, so that the command stays with the client. If earlier requests are open, the command is
-     * rejected and discarded instead, because a disconnect of the client would not be noticed on a
-     * connection that is not read.
-     */
-    private void reserveBuffer(int bytes) {
-        if (reservedBytes > 0 || awaitedBytes > 0) {
-            return;
+        incoming.onComplete();
+        if (!reader.isCommand()) {
+            throw new ProtocolException("an array of bulk strings");
         }
-        awaitedBytes = bytes;
-        if (pool.commandBuffers.tryReserve(this)) {
-            return;
+        if (!responses.isEmpty()
+                && responses.size() < MAX_UNANSWERED_COMMANDS
+                && !reservation.isAvailable(ClientMemory.requestBytes(length, true))) {
+            memory.warnShort(pool.context);
+            pauseCommands();
+            return false;
         }
         if (responses.isEmpty()) {
-            suspendReads();
-            return;
+            reservation.cancel();
         }
-        releaseBuffer();
-        discardBytes = bytes;
-        answerLine(newSlot(), REJECTED);
-        discardRejectedCommand();
-    }
-
-    private void discardRejectedCommand() {
-        int length = Math.min(discardBytes, buffer.unreadBytes());
-        discardBytes -= length;
-        buffer.consume(length);
-    }
-
-    /** Size of the buffer that the connection waits for, or 0. */
-    int awaitedBytes() {
-        return awaitedBytes;
-    }
-
-    /** Called when the buffer that the connection waited for has been reserved. */
-    void onBufferReserved() {
-        reservedBytes = awaitedBytes;
-        awaitedBytes = 0;
-        partialSinceMs = pool.context.nowMs();
-        buffer.reserveForRead(reservedBytes);
-        resumeReads();
+        boolean hasOwnBuffer = incoming.end();
+        setReadLimit(incoming.readLimitBytes());
+        commandReceived = true;
+        lastUseMs = pool.context.nowMs();
+        handle(reader, length, hasOwnBuffer);
+        return true;
     }
 
-    /** Ends the reservation or the wait for one, without serving other waiting connections yet. */
-    private void releaseReservation() {
-        if (reservedBytes > 0 || awaitedBytes > 0) {
-            int released = reservedBytes;
-            reservedBytes = 0;
-            awaitedBytes = 0;
-            pool.commandBuffers.release(this, released);
+    private void readOn(int requiredBytes) {
+        boolean mayWait = responses.isEmpty() || requiredBytes <= RespReader.MAX_VALUE_BYTES;
+        switch (incoming.onPartial(requiredBytes, mayWait, pool.context.nowMs())) {
+            case AWAIT_MEMORY -> {
+                memory.warnShort(pool.context);
+                arrival.startUnread();
+                if (responses.isEmpty()) {
+                    suspendReads();
+                } else {
+                    suspendReadsExceptPolls();
+                }
+            }
+            // A disconnect of the client behind a long command would not be noticed unread.
+            case REJECT -> {
+                memory.warnShort(pool.context);
+                answerLine(newSlot(), REJECTED);
+                incoming.discardRejected();
+            }
+            default -> setReadLimit(incoming.readLimitBytes());
         }
     }
 
-    private void releaseBuffer() {
-        releaseReservation();
-        pool.commandBuffers.serveWaiting();
+    /** Called when there is memory for the rest of a command. */
+    void onMemoryReserved() {
+        incoming.restartTimeout(pool.context.nowMs());
+        setReadLimit(incoming.readLimitBytes());
+        resumeReads();
     }
 
     /**
@@ -244,8 +238,9 @@
      * behind a malformed command cannot be parsed.
      */
     private void closeWithLine(String line) {
-        buffer.consume(buffer.unreadBytes()); // before its reservation is passed to another
-        releaseBuffer();
+        buffer.consume(buffer.unreadBytes()); // before its memory is passed to another
+        incoming.end();
+        reservation.cancel();
         answerLine(newSlot(), line);
         discardInput();
         setPendingClose(CloseReason.PROTOCOL_ERROR);
@@ -259,13 +254,13 @@
             scheduleFlush();
         }
         boolean malformed = pendingClose == CloseReason.PROTOCOL_ERROR;
-        boolean partialTooLong = nowMs - partialSinceMs >= PARTIAL_COMMAND_TIMEOUT_MS;
         double quietMs = nowMs - lastUseMs;
-        if (!malformed && awaitedBytes > 0 && partialTooLong) {
-            closeWithLine(REJECTED);
-        } else if (!malformed && partialSinceMs > 0 && partialTooLong) {
-            long limitMs = (long) PARTIAL_COMMAND_TIMEOUT_MS;
-            closeWithLine("-ERR expected a whole command within " + limitMs + " ms");
+        if (!malformed && incoming.isOverdue(nowMs)) {
+            long limitMs = (long) IncomingCommand.TIMEOUT_MS;
+            closeWithLine(
+                    incoming.awaitsMemory()
+                            ? REJECTED
+                            : "-ERR expected a whole command within " + limitMs + " ms");
         } else if (writeProgress.isStalled(nowMs)) {
             close(CloseReason.BUFFER_LIMIT_EXCEEDED);
         } else if (pendingClose == null && isIdle() && quietMs >= idleTimeoutMs()) {
@@ -292,40 +287,49 @@
     }
 
     /**
-     * @param hasReservedBuffer whether the command is a long one with a reserved buffer, which the
-     *     request then takes over: a copy would need the memory twice
+     * @param hasOwnBuffer whether the buffer was enlarged for the command, which then takes it
+     *     over: a copy would need the memory twice
      */
-    private void handle(RespReader reader, int length, boolean hasReservedBuffer) {
+    private void handle(RespReader reader, int length, boolean hasOwnBuffer) {
         int from = buffer.readIndex();
         if (reader.elementCount() == 1 && reader.text(0).equals("PING")) {
             buffer.consume(length);
-            answerLine(newSlot(), "+PONG");
+            answerLine(newSlot(), PONG);
             return;
         }
         ClientRequest request;
         try {
-            request =
-                    pool.newRequest(this, new ClientCommand(reader, buffer.bytes(), from, length));
+            ClientCommand command = new ClientCommand(reader, buffer.bytes(), from, length);
+            request = pool.newRequest(this, command, arrival.earliestMs());
         } catch (ProtocolException e) {
             buffer.consume(length);
             answerLine(newSlot(), "-ERR " + e.getMessage());
             return;
         }
-        if (hasReservedBuffer) {
+        submit(request, length, hasOwnBuffer);
+    }
+
+    private void submit(ClientRequest request, int length, boolean hasOwnBuffer) {
+        boolean tooMany = responses.size() >= MAX_UNANSWERED_COMMANDS;
+        boolean isReserved = hasOwnBuffer || !responses.isEmpty();
+        int commandBytes = hasOwnBuffer ? buffer.bytes().length : length;
+        long bytes = ClientMemory.requestBytes(commandBytes, !responses.isEmpty() && !tooMany);
+        boolean mayForward = !tooMany && (isReserved || memory.isAvailable(bytes));
+        if (hasOwnBuffer) {
             buffer.consume(length);
             buffer.detachArray();
         } else {
             request.command.copyBytes();
             buffer.consume(length);
         }
-        responses.add(request.slot);
-        pool.submit(request, responses.size() > MAX_UNANSWERED_COMMANDS);
+        responses.add(request.slot, bytes);
+        pool.submit(request, mayForward);
     }
 
     /** Adds a slot for a response that does not depend on the decision module. */
     private ResponseSlot newSlot() {
         ResponseSlot slot = new ResponseSlot(null);
-        responses.add(slot);
+        responses.add(slot, 0);
         return slot;
     }
 
@@ -343,7 +347,7 @@
      * throws, and the request can still be answered otherwise.
      */
     void answerValue(ResponseSlot slot, byte[] value, int from, int length) {
-        boolean isNext = isNextToAnswer(slot);
+        boolean isNext = responses.isNext(slot);
         try {
             continueAfter(responses.putValue(slot, value, from, length));
         } catch (RuntimeException | Error e) {
@@ -362,16 +366,6 @@
         }
     }
 
-    /** Whether all responses before a slot are complete. */
-    boolean isNextToAnswer(ResponseSlot slot) {
-        return slot == responses.first();
-    }
-
-    /** Starts a streamed value as the next response. */
-    void startStream(long length) {
-        buffer.put("$").put(length).putLineEnd();
-    }
-
     /** Writes a part of the value; returns false if the source must wait until it is resumed. */
     boolean writeStreamPart(byte[] bytes, int from, int length) {
         buffer.put(bytes, from, length);
@@ -389,7 +383,6 @@
 
     /** Completes the streamed value. */
     void endStream() {
-        responses.first().source = null;
         buffer.putLineEnd();
         completeResponse();
     }
@@ -401,11 +394,7 @@
         } else {
             resumeSource();
         }
-        if (areCommandsPaused && !isClosed() && !backpressure.isActive()) {
-            areCommandsPaused = false;
-            resumeReads();
-            onReceived();
-        }
+        resumeCommands();
     }
 
     /** Resumes the source of the first response, or does so once the client accepts more. */
@@ -426,6 +415,7 @@
         lastUseMs = pool.context.nowMs();
         scheduleFlush();
         resumeSource();
+        resumeCommands();
         boolean staysOpen = acceptedWhileDraining && !hasAnswered;
         if (pendingClose == null && !staysOpen && pool.closesAfterResponse(acceptedWhileDraining)) {
             pendingClose = CloseReason.CLOSED_IDLE;
@@ -481,7 +471,7 @@
     /** Answers all open requests and rejects a partial command, as the process is about to end. */
     void terminate() {
         responses.terminateOpenRequests();
-        if (!isClosed() && pendingClose != CloseReason.PROTOCOL_ERROR && partialSinceMs > 0) {
+        if (!isClosed() && pendingClose != CloseReason.PROTOCOL_ERROR && incoming.isPartial()) {
             closeWithLine(REJECTED);
         }
     }
@@ -491,7 +481,9 @@
         writeProgress.warnIfUnwritten(pool.context, reason);
         buffer.consume(buffer.unreadBytes());
         pool.connectionClosed(this);
-        releaseBuffer();
+        incoming.end();
+        reservation.cancel();
         responses.abandon();
+        memory.releaseAll();
     }
 }
--- a/gateway/src/main/java/tinford/routing/client/ClientLimits.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientLimits.java
@@ -7,8 +7,6 @@
  * @param maxUnits largest number of units of a request
  * @param idleTimeoutMs how long a connection may be idle after a command
  * @param maxOpenRequests largest number of open requests
- * @param maxHeldBytes limit on the bytes of open requests and of responses that wait for earlier
- *     ones, together
  * @param maxConnections limit on open connections; lower while fewer descriptors are available for
  *     clients
  * @param reclaimThreshold number of connections from which an idle connection is closed for each
@@ -19,6 +17,5 @@
         double maxUnits,
         double idleTimeoutMs,
         int maxOpenRequests,
-        long maxHeldBytes,
         int maxConnections,
         int reclaimThreshold) {}
--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -39,9 +39,7 @@
     final RoutingContext context;
     final RespReader respReader = new RespReader(true);
     final ClientLimits limits;
-    final CommandBuffers commandBuffers;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    private final HeldBytes heldBytes;
     private final OpenRequests openRequests;
     private final ClientRequestFactory requestFactory;
     private Listener listener;
@@ -61,10 +59,8 @@
     public ClientPool(RoutingContext context, Catalog catalog, ClientLimits limits) {
         this.context = context;
         this.limits = limits;
-        this.heldBytes = new HeldBytes(limits.maxHeldBytes());
-        this.commandBuffers = new CommandBuffers(heldBytes);
-        this.openRequests = new OpenRequests(limits, heldBytes);
-        this.requestFactory = new ClientRequestFactory(context, limits, openRequests, catalog);
+        this.openRequests = new OpenRequests(limits);
+        this.requestFactory = new ClientRequestFactory(limits, openRequests, catalog);
     }
 
     /** Sets the catalog for new requests. Open requests keep their request class and plan. */
@@ -173,21 +169,22 @@
     /**
      * Creates a request from a command.
      *
+     * @param arrivedMs the earliest time at which the command may have arrived
      * @throws ProtocolException if the command does not comply with the catalog or the limits
      */
-    ClientRequest newRequest(ClientConnection connection, ClientCommand command)
+    ClientRequest newRequest(ClientConnection connection, ClientCommand command, double arrivedMs)
             throws ProtocolException {
-        return requestFactory.create(connection, command);
+        return requestFactory.create(connection, command, arrivedMs);
     }
 
     /**
      * Passes a request to the decision module, or rejects it if limits are exceeded.
      *
-     * @param tooManyUnanswered whether too many commands of its connection are unanswered
+     * @param mayForward whether its connection may have one more request forwarded
      */
-    void submit(ClientRequest request, boolean tooManyUnanswered) {
+    void submit(ClientRequest request, boolean mayForward) {
         openRequests.add(request);
-        if (terminating || tooManyUnanswered || openRequests.exceedLimits()) {
+        if (terminating || !mayForward || openRequests.exceedLimit()) {
             reject(request, 0);
             return;
         }
@@ -237,18 +234,9 @@
         }
         request.markFinished();
         openRequests.remove(request);
-        commandBuffers.serveWaiting();
         return true;
     }
 
-    /** Adds the bytes of a response that waits for earlier ones, or removes them if negative. */
-    void addHeldBytes(int bytes) {
-        heldBytes.add(bytes);
-        if (bytes < 0) {
-            commandBuffers.serveWaiting();
-        }
-    }
-
     void connectionClosed(ClientConnection connection) {
         connections.remove(connection);
         if (onAllClosed != null && connections.isEmpty()) {
--- a/gateway/src/main/java/tinford/routing/client/ClientRequest.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientRequest.java
@@ -69,7 +69,7 @@
 
     @Override
     protected boolean isNextToAnswer() {
-        return connection.isNextToAnswer(slot);
+        return connection.responses.isNext(slot);
     }
 
     @Override
@@ -79,12 +79,12 @@
 
     @Override
     protected void setResponseSource(ResponseSource source) {
-        slot.source = source;
+        connection.responses.setSource(slot, source);
     }
 
     @Override
     protected void startStream(long length) {
-        connection.startStream(length);
+        connection.responses.startStream(length);
     }
 
     @Override
--- a/gateway/src/main/java/tinford/routing/client/ClientRequestFactory.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientRequestFactory.java
@@ -6,23 +6,16 @@
 import tinford.api.Tenant;
 import tinford.protocol.ClientCommand;
 import tinford.protocol.ProtocolException;
-import tinford.routing.RoutingContext;
 import tinford.routing.catalog.Catalog;
 
 /** Creates requests from commands that comply with the catalog in force and the limits. */
 final class ClientRequestFactory {
-    private final RoutingContext context;
     private final ClientLimits limits;
     private final OpenRequests openRequests;
     private Catalog catalog;
     private double longestTimeoutMs;
 
-    ClientRequestFactory(
-            RoutingContext context,
-            ClientLimits limits,
-            OpenRequests openRequests,
-            Catalog catalog) {
-        this.context = context;
+    ClientRequestFactory(ClientLimits limits, OpenRequests openRequests, Catalog catalog) {
         this.limits = limits;
         this.openRequests = openRequests;
         useCatalog(catalog);
@@ -42,9 +35,10 @@
     /**
      * Creates a request.
      *
+     * @param arrivedMs the earliest time at which the command may have arrived
      * @throws ProtocolException if the command does not comply with the catalog or the limits
      */
-    ClientRequest create(ClientConnection connection, ClientCommand command)
+    ClientRequest create(ClientConnection connection, ClientCommand command, double arrivedMs)
             throws ProtocolException {
         RequestClass requestClass = catalog.requestClass(command.requestClass);
         Plan plan = catalog.planFor(command.tenant, command.plan);
@@ -57,8 +51,7 @@
                         command.firstGateway,
                         catalog.revision());
         double timeoutMs = Math.min(command.timeoutMs, requestClass.timeoutMs);
-        return new ClientRequest(
-                connection, command, requestClass, tenant, context.previousBatchMs() + timeoutMs);
+        return new ClientRequest(connection, command, requestClass, tenant, arrivedMs + timeoutMs);
     }
 
     private void check(ClientCommand command, RequestClass requestClass) throws ProtocolException {
--- a/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
+++ b/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
@@ -2,28 +2,43 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import tinford.routing.upstream.ResponseSource;
 import tinford.transport.CloseReason;
 import tinford.transport.ConnectionBuffer;
+import tinford.transport.MemoryBudget;
 
 /**
  * The outstanding responses of a connection, in the order of its commands. A response that is ready
  * before an earlier one, or before the client accepts more, is kept until it can be written, and
- * counts as held bytes.
+ * counts in the memory of the connection.
  */
 final class ResponseQueue {
+    /** A kept response is written in parts, so that the buffer does not hold all of it again. */
+    private static final int MAX_PART_BYTES = 16 << 10;
+
+    private static final byte[] REJECTED_LINE = encodeLine(ClientConnection.REJECTED);
+    private static final byte[] PONG_LINE = encodeLine(ClientConnection.PONG);
+
     private final ClientPool pool;
     private final ConnectionBuffer buffer;
+    private final ClientMemory memory;
     private final WriteBackpressure backpressure;
     private ResponseSlot first;
     private ResponseSlot last;
     private int size;
+    private long keptLineBytes;
 
     /**
      * @param buffer the buffer that responses are written to
      */
-    ResponseQueue(ClientPool pool, ConnectionBuffer buffer, WriteBackpressure backpressure) {
+    ResponseQueue(
+            ClientPool pool,
+            ConnectionBuffer buffer,
+            ClientMemory memory,
+            WriteBackpressure backpressure) {
         this.pool = pool;
         this.buffer = buffer;
+        this.memory = memory;
         this.backpressure = backpressure;
     }
 
@@ -40,7 +55,13 @@
         return first;
     }
 
-    void add(ResponseSlot slot) {
+    /**
+     * Adds a slot.
+     *
+     * @param bytes memory that its command and its response will take, besides the slot itself
+     */
+    void add(ResponseSlot slot, long bytes) {
+        hold(slot, ResponseSlot.HEAP_BYTES + bytes);
         size++;
         if (first == null) {
             first = slot;
@@ -62,10 +83,30 @@
             buffer.put(line).putLineEnd();
             return true;
         }
-        keep(slot, (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        keepLine(slot, line);
         return false;
     }
 
+    /** The lines that a client can cause in great numbers are shared. */
+    private void keepLine(ResponseSlot slot, String line) {
+        switch (line) {
+            case ClientConnection.REJECTED -> keep(slot, REJECTED_LINE, 0);
+            case ClientConnection.PONG -> keep(slot, PONG_LINE, 0);
+            default -> keep(slot, encodeLine(line));
+        }
+        slot.isLine = true;
+        keptLineBytes += slot.heldBytes;
+    }
+
+    /** The memory of the lines that are kept, which a client can cause in great numbers. */
+    long keptLineBytes() {
+        return keptLineBytes;
+    }
+
+    private static byte[] encodeLine(String line) {
+        return (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     /**
      * Writes a value if all earlier responses are written and the client accepts more; otherwise
      * keeps a copy.
@@ -81,8 +122,18 @@
         return false;
     }
 
+    /** Starts a streamed value as the next response. */
+    void startStream(long length) {
+        buffer.put("$").put(length).putLineEnd();
+    }
+
+    /** Whether all responses before a slot are complete. */
+    boolean isNext(ResponseSlot slot) {
+        return slot == first;
+    }
+
     private boolean canWrite(ResponseSlot slot) {
-        return slot == first && !backpressure.isActive();
+        return isNext(slot) && !backpressure.isActive();
     }
 
     private static byte[] encodeValue(byte[] value, int from, int length) {
@@ -95,8 +146,30 @@
     }
 
     private void keep(ResponseSlot slot, byte[] response) {
+        keep(slot, response, MemoryBudget.arrayBytes(response.length));
+    }
+
+    private void keep(ResponseSlot slot, byte[] response, long responseBytes) {
         slot.response = response;
-        pool.addHeldBytes(response.length);
+        slot.request = null; // it has its final answer, and must not be held until this is written
+        hold(slot, ResponseSlot.HEAP_BYTES + responseBytes);
+    }
+
+    /** Sets how much memory is counted for a slot. */
+    private void hold(ResponseSlot slot, long bytes) {
+        long change = bytes - slot.heldBytes;
+        slot.heldBytes = bytes;
+        if (change > 0) {
+            memory.add(change);
+        } else {
+            memory.release(-change);
+        }
+    }
+
+    /** Sets the source of a streamed response, which stays with its server until its turn. */
+    void setSource(ResponseSlot slot, ResponseSource source) {
+        slot.source = source;
+        hold(slot, ResponseSlot.HEAP_BYTES);
     }
 
     /**
@@ -115,15 +188,23 @@
     boolean writeKept() {
         boolean written = false;
         while (first != null && first.response != null && !backpressure.isActive()) {
-            buffer.put(first.response, 0, first.response.length);
-            pool.addHeldBytes(-first.response.length);
-            removeFirst();
+            int rest = first.response.length - first.writtenBytes;
+            int length = Math.min(rest, MAX_PART_BYTES);
+            buffer.put(first.response, first.writtenBytes, length);
+            first.writtenBytes += length;
+            if (length == rest) {
+                removeFirst();
+            }
             written = true;
         }
         return written;
     }
 
     private void removeFirst() {
+        if (first.isLine) {
+            keptLineBytes -= first.heldBytes;
+        }
+        hold(first, 0);
         size--;
         first = first.next;
     }
@@ -140,13 +221,12 @@
     /** Drops all responses, whose client has disconnected. */
     void abandon() {
         for (ResponseSlot slot = first; slot != null; slot = slot.next) {
-            if (slot.response != null) {
-                pool.addHeldBytes(-slot.response.length);
-            } else if (slot.source != null) {
+            if (slot.source != null) {
                 slot.source.close(CloseReason.CANCELLED);
             } else if (slot.request != null && !slot.request.isFinished()) {
                 pool.clientDisconnected(slot.request);
             }
+            hold(slot, 0);
         }
         size = 0;
         first = null;
--- a/gateway/src/main/java/tinford/routing/client/WriteBackpressure.java
+++ b/gateway/src/main/java/tinford/routing/client/WriteBackpressure.java
@@ -1,7 +1,7 @@
 package tinford.routing.client;
 
-import tinford.transport.BufferBudget;
 import tinford.transport.ConnectionBuffer;
+import tinford.transport.MemoryBudget;
 
 /**
  * Tells whether a client accepts its responses more slowly than they are written. Until it has
@@ -13,9 +13,9 @@
     private static final int LOW_WATER_BYTES = 8 << 10;
 
     private final ConnectionBuffer buffer;
-    private final BufferBudget budget;
+    private final MemoryBudget budget;
 
-    WriteBackpressure(ConnectionBuffer buffer, BufferBudget budget) {
+    WriteBackpressure(ConnectionBuffer buffer, MemoryBudget budget) {
         this.buffer = buffer;
         this.budget = budget;
     }
--- a/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
+++ b/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
@@ -50,13 +50,13 @@
     /**
      * @param maxAttempts limit on the attempts of one request
      * @param descriptors limit on open connections, not counting those of the admin API
-     * @param bufferBytes limit on the buffers of all connections together
+     * @param memoryBytes limit on the heap memory that all connections use together
      * @throws IOException if the event loop cannot be started
      */
     public RequestDispatcher(
-            DecisionModule decisions, int maxAttempts, int descriptors, long bufferBytes)
+            DecisionModule decisions, int maxAttempts, int descriptors, long memoryBytes)
             throws IOException {
-        this(decisions, maxAttempts, descriptors, bufferBytes, System::nanoTime);
+        this(decisions, maxAttempts, descriptors, memoryBytes, System::nanoTime);
     }
 
     /**
@@ -68,12 +68,12 @@
             DecisionModule decisions,
             int maxAttempts,
             int descriptors,
-            long bufferBytes,
+            long memoryBytes,
             LongSupplier nanoTime)
             throws IOException {
         this.decisions = decisions;
         this.maxAttempts = maxAttempts;
-        this.loop = new EventLoop(this::runBatch, descriptors, bufferBytes, nanoTime);
+        this.loop = new EventLoop(this::runBatch, descriptors, memoryBytes, nanoTime);
     }
 
     /**
--- a/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerConnection.java
@@ -130,6 +130,11 @@
         return DescriptorBudget.PeerKind.SERVERS;
     }
 
+    @Override
+    protected boolean waitsForMemory() {
+        return true;
+    }
+
     @Override
     protected void onOpened() {
         server.openingConnections.remove(this);
--- a/gateway/src/main/java/tinford/transport/Connection.java
+++ b/gateway/src/main/java/tinford/transport/Connection.java
@@ -45,6 +45,11 @@
     private boolean isReadSuspended;
     private boolean mayReadAhead;
 
+    /** How many bytes may be unread before the subclass has consumed some or allows more. */
+    private int readLimitBytes = Integer.MAX_VALUE;
+
+    private final MemoryBudget.Waiter memoryWait;
+
     /**
      * @param maxUnreadBytes limit for bytes received but not consumed; the connection is closed
      *     when it is exceeded
@@ -52,10 +57,11 @@
      */
     protected Connection(EventLoop loop, int maxUnreadBytes, int maxUnwrittenBytes) {
         this.loop = loop;
-        this.buffer = new ConnectionBuffer(loop.bufferBudget);
+        this.buffer = new ConnectionBuffer(loop.memoryBudget);
         this.gracefulClose = new GracefulClose(loop, this::close);
         this.readAhead = new ReadAhead(loop, this);
         this.maxUnreadBytes = maxUnreadBytes;
+        this.memoryWait = new ExceededBudgetWait(loop.memoryBudget, this::resumeReads);
         this.maxUnwrittenBytes = maxUnwrittenBytes;
     }
 
@@ -138,10 +144,19 @@
         holdsDescriptor = true;
     }
 
-    /** Reads from the socket once; returns true if bytes were received. */
+    /** Limits the unread bytes; further input stays in the socket's receive buffer. */
+    protected final void setReadLimit(int bytes) {
+        readLimitBytes = bytes;
+    }
+
     final boolean read() {
+        return read(readLimitBytes);
+    }
+
+    /** Reads from the socket once, up to a limit; returns true if bytes were received. */
+    final boolean read(int limitBytes) {
         try {
-            int received = buffer.read(connection.getSourceChannel().getConduit());
+            int received = buffer.read(connection.getSourceChannel().getConduit(), limitBytes);
             if (received > 0) {
                 pendingEvents.add(Event.RECEIVED);
                 submitEvents();
@@ -231,14 +246,16 @@
             return;
         }
         try {
-            holdBackLastByte();
+            if (state == ConnectionState.OPEN) {
+                gracefulClose.holdBackLastByte(connection, buffer);
+            }
             buffer.write(connection.getSinkChannel().getConduit());
             if (buffer.unwrittenBytes() <= awaitedUnwrittenBytes) {
                 awaitedUnwrittenBytes = NOT_AWAITED;
                 pendingEvents.add(Event.DRAINED);
                 submitEvents();
             }
-            if (exceedsLimit(buffer.unwrittenBytes(), maxUnwrittenBytes)) {
+            if (buffer.unwrittenBytes() > maxUnwrittenBytes) {
                 fail(CloseReason.BUFFER_LIMIT_EXCEEDED);
             } else if (buffer.unwrittenBytes() > 0) {
                 connection.getSinkChannel().resumeWrites();
@@ -250,31 +267,12 @@
         }
     }
 
-    /**
-     * Lets the last byte arrive together with the FIN. A peer that has received everything but not
-     * yet the FIN might send its next command on this connection. With TCP_NODELAY off, a last byte
-     * that is written separately is held back while earlier bytes are unacknowledged, and the
-     * shutdown of the sending side sends it with the FIN.
-     */
-    private void holdBackLastByte() throws IOException {
-        if (gracefulClose.isActive()
-                && state == ConnectionState.OPEN
-                && buffer.unwrittenBytes() > 1) {
-            connection.setOption(Options.TCP_NODELAY, false);
-            buffer.writeAllButLast(connection.getSinkChannel().getConduit());
-        }
-    }
-
     private boolean hasFlushWork() {
         return buffer.unwrittenBytes() > 0
                 || gracefulClose.isActive()
                 || awaitedUnwrittenBytes != NOT_AWAITED;
     }
 
-    private boolean exceedsLimit(int bytes, int limit) {
-        return bytes > limit || loop.bufferBudget.isExceeded() && bytes > 0;
-    }
-
     private void halfClose() throws IOException {
         if (gracefulClose.isCancelledByInput() && !hasNoPendingInput()) {
             gracefulClose.cancel();
@@ -347,11 +345,28 @@
         } else {
             onReceived();
         }
-        if (!isClosed() && exceedsLimit(buffer.unreadBytes(), maxUnreadBytes)) {
+        if (!isClosed() && buffer.unreadBytes() > maxUnreadBytes) {
             close(CloseReason.BUFFER_LIMIT_EXCEEDED);
+        } else if (!isClosed() && waitsForMemory() && loop.memoryBudget.isExceeded()) {
+            suspendReads();
+            loop.memoryBudget.await(memoryWait);
         }
     }
 
+    /**
+     * Whether the connection is not read while the memory budget is exceeded. False if something
+     * else limits what it receives.
+     */
+    protected boolean waitsForMemory() {
+        return false;
+    }
+
+    /** Calls {@link #onReceived} again in the next batch, after the events of others. */
+    protected final void continueInNextBatch() {
+        pendingEvents.add(Event.RECEIVED);
+        submitEvents();
+    }
+
     /**
      * Requests one call of {@link #onDrained} when at most this many bytes are unwritten. The call
      * comes after the end of this batch at the earliest.
@@ -441,6 +456,7 @@
         }
         state = ConnectionState.CLOSED;
         gracefulClose.cancelTimeout();
+        loop.memoryBudget.cancelWait(memoryWait);
         boolean closesImmediately =
                 connection == null
                         || reason == CloseReason.CLOSED_BY_PEER
@@ -463,11 +479,10 @@
     }
 
     private void closeSocket() {
-        if (connection != null) {
-            IoUtils.safeClose(connection);
-        } else if (connectAttempt != null) {
+        if (connectAttempt != null && connection == null) {
             connectAttempt.cancel();
         }
+        IoUtils.safeClose(connection);
     }
 
     private void onLingeringCloseEnded() {
--- a/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
+++ b/gateway/src/main/java/tinford/transport/ConnectionBuffer.java
@@ -17,13 +17,15 @@
     /** The minimum free space before each read. */
     private static final int READ_BYTES = 4096;
 
-    /** Above this capacity the array grows to exactly the needed length instead of doubling. */
-    private static final int MAX_DOUBLED_BYTES = 256 << 10;
+    /** Above this capacity the array grows by a fraction instead of doubling. */
+    private static final int MAX_DOUBLED_BYTES = 16 << 10;
+
+    private static final int GROWTH_DIVISOR = 4;
 
     /** A larger array is released as soon as it is empty. */
     private static final int MAX_EMPTY_CAPACITY_BYTES = 16 << 10;
 
-    private final BufferBudget budget;
+    private final MemoryBudget budget;
     private byte[] bytes = new byte[0];
     private ByteBuffer view = ByteBuffer.wrap(bytes);
     private int readIndex;
@@ -33,7 +35,10 @@
     private int maxReadBytes = READ_BYTES;
     private long writtenBytes;
 
-    public ConnectionBuffer(BufferBudget budget) {
+    /** Whether the last read received all that the socket held. */
+    private boolean isInputDrained = true;
+
+    public ConnectionBuffer(MemoryBudget budget) {
         this.budget = budget;
     }
 
@@ -82,14 +87,35 @@
         maxReadBytes = Math.max(READ_BYTES, maxBytes);
     }
 
-    /** Reads once; returns the number of bytes received, or -1 at the end of the stream. */
-    int read(StreamSourceConduit source) throws IOException {
-        if (readEnd() - readLimit < READ_BYTES) {
-            rearrange(maxReadBytes, 0);
+    /** The heap size of the buffer. */
+    public long heapBytes() {
+        return MemoryBudget.arrayBytes(bytes.length);
+    }
+
+    /** Whether the last read received all that the socket held at that time. */
+    public boolean isInputDrained() {
+        return isInputDrained;
+    }
+
+    /**
+     * Reads once, until there are {@code maxUnreadBytes} unread bytes at most.
+     *
+     * @return the number of bytes received, or -1 at the end of the stream
+     */
+    int read(StreamSourceConduit source, int maxUnreadBytes) throws IOException {
+        int wanted = maxUnreadBytes - unreadBytes();
+        if (wanted <= 0) {
+            isInputDrained = false;
+            return 0;
         }
-        view.limit(readEnd()).position(readLimit);
+        if (readEnd() - readLimit < Math.min(READ_BYTES, wanted)) {
+            rearrange(Math.min(maxReadBytes, wanted), 0);
+        }
+        int end = (int) Math.min(readEnd(), (long) readLimit + wanted);
+        view.limit(end).position(readLimit);
         int received = source.read(view);
         readLimit += Math.max(0, received);
+        isInputDrained = readLimit < end;
         return received;
     }
 
@@ -164,25 +190,37 @@
         }
     }
 
-    /** Makes room in one step for that many unread bytes and for a further read after them. */
+    /** Makes room in one step for that many unread bytes. */
     public void reserveForRead(int unreadBytes) {
-        if (unreadBytes > unreadBytes()
-                && bytes.length < unreadBytes + 2 * READ_BYTES + unwrittenBytes()) {
-            rearrange(unreadBytes - unreadBytes() + 2 * READ_BYTES, 0);
+        if (unreadBytes > unreadBytes() && bytes.length < unreadBytes + unwrittenBytes()) {
+            moveTo(unreadBytes + unwrittenBytes(), true);
         }
     }
 
+    /** By how much the heap size grows when there is room for that many unread bytes. */
+    public long growthForRead(int unreadBytes) {
+        int capacity = Math.max(bytes.length, unreadBytes + unwrittenBytes());
+        return MemoryBudget.arrayBytes(capacity) - heapBytes();
+    }
+
     /**
      * Makes room for more received bytes or for more bytes to write. In the first case the
      * unwritten bytes are placed at the end of the array, in the second directly after the unread
      * bytes.
      */
     private void rearrange(int moreToRead, int moreToWrite) {
+        int needed = unreadBytes() + moreToRead + unwrittenBytes() + moreToWrite;
+        moveTo(capacityFor(needed), moreToRead > 0);
+    }
+
+    /**
+     * @param unwrittenAtEnd whether the unwritten bytes are placed at the end of the array
+     */
+    private void moveTo(int capacity, boolean unwrittenAtEnd) {
         int unread = unreadBytes();
         int unwritten = unwrittenBytes();
-        int capacity = capacityFor(unread + moreToRead + unwritten + moreToWrite);
         byte[] target = capacity == bytes.length ? bytes : new byte[capacity];
-        int writeStart = moreToRead > 0 ? capacity - unwritten : unread;
+        int writeStart = unwrittenAtEnd ? capacity - unwritten : unread;
         // the region that moves to the right is copied first, so that neither overwrites the other
         if (writeStart > writeIndex) {
             System.arraycopy(bytes, writeIndex, target, writeStart, unwritten);
@@ -201,7 +239,10 @@
     private int capacityFor(int neededBytes) {
         int capacity = Math.max(MIN_CAPACITY_BYTES, bytes.length);
         while (capacity < neededBytes) {
-            capacity = neededBytes > MAX_DOUBLED_BYTES ? neededBytes : 2 * capacity;
+            capacity =
+                    neededBytes > MAX_DOUBLED_BYTES
+                            ? Math.max(neededBytes, capacity + capacity / GROWTH_DIVISOR)
+                            : 2 * capacity;
         }
         return capacity;
     }
@@ -241,8 +282,8 @@
 
     private void setArray(byte[] array) {
         if (array != bytes) {
-            budget.release(bytes.length);
-            budget.reserve(array.length);
+            budget.release(heapBytes());
+            budget.add(MemoryBudget.arrayBytes(array.length));
             bytes = array;
             view = ByteBuffer.wrap(array);
         }
--- a/gateway/src/main/java/tinford/transport/EventLoop.java
+++ b/gateway/src/main/java/tinford/transport/EventLoop.java
@@ -42,7 +42,7 @@
 
     final XnioWorker worker;
     final XnioIoThread ioThread;
-    final BufferBudget bufferBudget;
+    final MemoryBudget memoryBudget;
     final DescriptorBudget descriptorBudget;
     private final BatchHandler batchHandler;
     private final Runnable batch = this::runBatch;
@@ -82,17 +82,19 @@
 
     /**
      * @param descriptors how many connections may be open to all kinds of peers except admins
-     * @param bufferBytes how many bytes the buffers of all connections may use
+     * @param memoryBytes how many bytes of the heap all connections may use together
      * @param nanoClock the clock of the timers; a caller that advances it manually has to wake the
      *     loop up with {@link #execute}
      */
     public EventLoop(
-            BatchHandler batchHandler, int descriptors, long bufferBytes, LongSupplier nanoClock)
+            BatchHandler batchHandler, int descriptors, long memoryBytes, LongSupplier nanoClock)
             throws IOException {
         this.batchHandler = batchHandler;
         this.nanoClock = nanoClock;
-        this.bufferBudget = new BufferBudget(bufferBytes);
         this.descriptorBudget = new DescriptorBudget(descriptors);
+        int clients = descriptorBudget.limit(DescriptorBudget.PeerKind.CLIENTS);
+        this.memoryBudget = new MemoryBudget(memoryBytes, clients);
+        memoryBudget.setServeLater(() -> submit(memoryBudget::serveWaiters));
         worker = Xnio.getInstance("nio").createWorker(workerOptions());
         ioThread = worker.getIoThread();
     }
@@ -207,8 +209,8 @@
         }
     }
 
-    public BufferBudget bufferBudget() {
-        return bufferBudget;
+    public MemoryBudget memoryBudget() {
+        return memoryBudget;
     }
 
     public DescriptorBudget descriptorBudget() {
--- a/gateway/src/main/java/tinford/transport/GracefulClose.java
+++ b/gateway/src/main/java/tinford/transport/GracefulClose.java
@@ -1,6 +1,9 @@
 package tinford.transport;
 
+import java.io.IOException;
 import java.util.function.Consumer;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 
 /**
  * The state of a connection's graceful close: its reason, its mode, and the timeout after which the
@@ -63,6 +66,19 @@
         restartTimeout(PEER_READ_TIMEOUT_MS, closeReason);
     }
 
+    /**
+     * Lets the last byte arrive together with the FIN. A peer that has received everything but not
+     * yet the FIN might send its next command on this connection. With TCP_NODELAY off, a last byte
+     * that is written separately is held back while earlier bytes are unacknowledged, and the
+     * shutdown of the sending side sends it with the FIN.
+     */
+    void holdBackLastByte(StreamConnection connection, ConnectionBuffer buffer) throws IOException {
+        if (isActive() && buffer.unwrittenBytes() > 1) {
+            connection.setOption(Options.TCP_NODELAY, false);
+            buffer.writeAllButLast(connection.getSinkChannel().getConduit());
+        }
+    }
+
     void cancel() {
         reason = null;
         timeout.cancel();
--- a/gateway/src/main/java/tinford/transport/ReadAhead.java
+++ b/gateway/src/main/java/tinford/transport/ReadAhead.java
@@ -21,7 +21,7 @@
     void poll() {
         boolean mayHaveMore = connection.isReadable();
         for (int i = 0; i < MAX_READS_PER_POLL && mayHaveMore && mayReadMore(); i++) {
-            mayHaveMore = connection.read();
+            mayHaveMore = connection.read(MAX_UNREAD_BYTES);
             if (isDiscarding) {
                 connection.discardReceived();
             }
@@ -30,8 +30,8 @@
 
     private boolean mayReadMore() {
         return !connection.isClosedOrClosing()
-                && connection.buffer.unreadBytes() <= MAX_UNREAD_BYTES
-                && !loop.bufferBudget.isNearlyExhausted();
+                && connection.buffer.unreadBytes() < MAX_UNREAD_BYTES
+                && (isDiscarding || !loop.memoryBudget.isNearlyExhausted());
     }
 
     boolean isDiscarding() {
--- a/gateway/src/test/java/tinford/routing/RoutingFixtures.java
+++ b/gateway/src/test/java/tinford/routing/RoutingFixtures.java
@@ -72,8 +72,8 @@
     }
 
     /** Limits for one gateway, ten open requests and eight connections. */
-    public static ClientLimits clientLimits(long maxHeldBytes) {
-        return new ClientLimits(1, 6, 15_000, 10, maxHeldBytes, 8, 8);
+    public static ClientLimits clientLimits() {
+        return new ClientLimits(1, 6, 15_000, 10, 8, 8);
     }
 
     public static String command(String... words) {
--- a/gateway/src/test/java/tinford/routing/client/ClosingFixture.java
+++ b/gateway/src/test/java/tinford/routing/client/ClosingFixture.java
@@ -74,7 +74,7 @@
                         RoutingFixtures.catalog(
                                 RoutingFixtures.requestClass(
                                         "f", LONGEST_TIMEOUT_MS, Idempotency.IDEMPOTENT)),
-                        RoutingFixtures.clientLimits(1 << 20));
+                        RoutingFixtures.clientLimits());
         dispatcher.attach(clients, null, null, null, null);
         port = FreePort.find();
         runBatch(
--- a/gateway/src/test/java/tinford/routing/client/ConnectionReclaimTest.java
+++ b/gateway/src/test/java/tinford/routing/client/ConnectionReclaimTest.java
@@ -56,7 +56,7 @@
                         dispatcher,
                         RoutingFixtures.catalog(
                                 RoutingFixtures.requestClass("f", 8000, Idempotency.IDEMPOTENT)),
-                        RoutingFixtures.clientLimits(1 << 20));
+                        RoutingFixtures.clientLimits());
         dispatcher.attach(clients, null, null, null, null);
         port = FreePort.find();
         clients.listen(new InetSocketAddress(LOOPBACK, port), false);
--- a/gateway/src/test/java/tinford/routing/client/ForwardingFixture.java
+++ b/gateway/src/test/java/tinford/routing/client/ForwardingFixture.java
@@ -39,8 +39,8 @@
     static final int REQUEST_TIMEOUT_MS = 60_000;
     static final int LONG_BODY_BYTES = 4 << 20;
 
-    /** Half of it is available to commands being received, which is enough for one long command. */
-    private static final int MAX_HELD_BYTES = 6_000_000;
+    /** Three quarters of it are available to large commands, which is enough for one long one. */
+    private static final int MEMORY_BYTES = 8_000_000;
 
     final List<AutoCloseable> resources = new ArrayList<>();
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
@@ -84,7 +84,7 @@
         slowServer.setSoTimeout(TIMEOUT_MS);
         resources.add(slowServer);
         DecisionModule decisions = (now, batch, to) -> batch.replay(new Recorder(to));
-        dispatcher = new RequestDispatcher(decisions, 3, 30, 1 << 26);
+        dispatcher = new RequestDispatcher(decisions, 3, 30, MEMORY_BYTES);
         resources.add(dispatcher.loop()::close);
         servers = new ServerPool(dispatcher, dispatcher, 2.0 * TIMEOUT_MS, 15_000, 10, List.of());
         clients =
@@ -93,7 +93,7 @@
                         RoutingFixtures.catalog(
                                 requestClass("f", 80_000, Idempotency.IDEMPOTENT),
                                 requestClass("w", 80_000, Idempotency.NON_IDEMPOTENT)),
-                        RoutingFixtures.clientLimits(MAX_HELD_BYTES));
+                        RoutingFixtures.clientLimits());
         dispatcher.attach(clients, servers, null, null, null);
         address = new InetSocketAddress(LOOPBACK, FreePort.find());
         firstServer = null;
--- a/gateway/src/test/java/tinford/routing/client/RequestCatalogTest.java
+++ b/gateway/src/test/java/tinford/routing/client/RequestCatalogTest.java
@@ -60,7 +60,7 @@
                 new ClientPool(
                         dispatcher,
                         new Catalog(Map.of("read", READ, "slow", SLOW), Map.of("free", FREE)),
-                        RoutingFixtures.clientLimits(1 << 20));
+                        RoutingFixtures.clientLimits());
     }
 
     @AfterMethod(alwaysRun = true)
@@ -78,7 +78,7 @@
         byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
         RespReader reader = new RespReader();
         int length = reader.parse(bytes, 0, bytes.length);
-        return clients.newRequest(null, new ClientCommand(reader, bytes, 0, length));
+        return clients.newRequest(null, new ClientCommand(reader, bytes, 0, length), 0);
     }
 
     @Test
--- a/gateway/src/test/java/tinford/routing/upstream/ServerResponseFixture.java
+++ b/gateway/src/test/java/tinford/routing/upstream/ServerResponseFixture.java
@@ -75,7 +75,7 @@
                         RoutingFixtures.catalog(
                                 RoutingFixtures.requestClass(
                                         "f", 80_000, Idempotency.NON_IDEMPOTENT)),
-                        RoutingFixtures.clientLimits(1 << 20));
+                        RoutingFixtures.clientLimits());
         dispatcher.attach(clients, servers, null, null, null);
         int port = FreePort.find();
         clients.listen(new InetSocketAddress(LOOPBACK, port), false);
--- a/gateway/src/test/java/tinford/transport/ConnectionBufferTest.java
+++ b/gateway/src/test/java/tinford/transport/ConnectionBufferTest.java
@@ -13,7 +13,7 @@
 import org.xnio.conduits.StreamSinkConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** Tests {@link ConnectionBuffer}, {@link BufferBudget} and {@link Clock}. */
+/** Tests {@link ConnectionBuffer}, {@link MemoryBudget} and {@link Clock}. */
 public class ConnectionBufferTest {
     private static <T> T conduit(
             Class<T> type, java.util.function.ToIntFunction<ByteBuffer> operation) {
@@ -33,7 +33,7 @@
     @Test(dataProvider = "seeds")
     public void bothDirectionsKeepTheirBytes(long seed, int maxSize) throws IOException {
         Random random = new Random(seed);
-        BufferBudget budget = new BufferBudget(1 << 22);
+        MemoryBudget budget = new MemoryBudget(1 << 22, 1);
         ConnectionBuffer buffer = new ConnectionBuffer(budget);
         ByteArrayOutputStream sent = new ByteArrayOutputStream();
         int[] next = new int[2]; // the next byte to be received and the next to be put
@@ -60,7 +60,7 @@
         int consumed = 0;
         for (int step = 0; step < 3000; step++) {
             switch (random.nextInt(4)) {
-                case 0 -> buffer.read(source);
+                case 0 -> buffer.read(source, Integer.MAX_VALUE);
                 case 1 -> {
                     byte[] input = new byte[random.nextInt(maxSize)];
                     for (int i = 0; i < input.length; i++) {
@@ -97,7 +97,7 @@
 
     @Test
     public void budgetIsExceededByTwoLargeBuffers() {
-        BufferBudget budget = new BufferBudget(10_000);
+        MemoryBudget budget = new MemoryBudget(10_000, 1);
         ConnectionBuffer first = new ConnectionBuffer(budget);
         first.put(new byte[5000], 0, 5000);
         assertTrue(!budget.isExceeded());
--- a/gateway/src/test/java/tinford/transport/EventLoopTest.java
+++ b/gateway/src/test/java/tinford/transport/EventLoopTest.java
@@ -97,7 +97,7 @@
             assertEquals(client.getInputStream().read(), -1);
         }
         CompletableFuture<Long> availableBytes = new CompletableFuture<>();
-        loop[0].execute(() -> availableBytes.complete(loop[0].bufferBudget.availableBytes()));
+        loop[0].execute(() -> availableBytes.complete(loop[0].memoryBudget.availableBytes()));
         assertEquals(availableBytes.get(10, TimeUnit.SECONDS).longValue(), 1 << 16);
         loop[0].close();
     }
