Write kept responses once keeping one has released memory

With little memory left a line is kept instead of written, and its request's memory is released; then memory is no longer short, so no drain was awaited, and nothing wrote the kept responses. Forty clients that sent requests under ever new names at full speed stood still: 15,854 ResponseSlot in the class histogram, the I/O thread idle, unread bytes in the sockets.

Change: whoever keeps a response looks whether it can be written now; a resumed connection that can't write awaits its drain.

--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -167,7 +167,7 @@
     }
 
     private void resumeCommands() {
-        if (areCommandsPaused && !isClosed() && !backpressure.isActive()) {
+        if (areCommandsPaused && !isClosed() && !awaitDrainIfCongested()) {
             areCommandsPaused = false;
             resumeReads();
             continueInNextBatch();
@@ -361,8 +361,8 @@
     private void continueAfter(boolean isWritten) {
         if (isWritten) {
             completeResponse();
-        } else {
-            awaitDrainIfCongested();
+        } else if (!awaitDrainIfCongested()) {
+            onDrained(); // keeping it has released memory, so that the client can get more again
         }
     }
 
