Answer a repeated id with -ERR aborted where its request may have run

Callers saw: a request that may run once ran twice, as its client closed the connection and sent it again with the same id.

Cause: OpenRequests forgets an id when its client leaves, though an attempt has run or still runs.

Classes that may be repeated anywhere are not kept.

--- a/gateway/src/main/java/tinford/routing/catalog/Catalog.java
+++ b/gateway/src/main/java/tinford/routing/catalog/Catalog.java
@@ -29,6 +29,7 @@
     private final Map<Long, Plan> plansByTenant;
     private final Set<Plan> plansInForce;
     private final double longestTimeoutMs;
+    private final double longestDeduplicationWindowMs;
 
     /** The catalog from a gateway's settings, in force until it receives a configuration. */
     public Catalog(Map<String, RequestClass> requestClasses, Map<String, Plan> plans) {
@@ -53,6 +54,11 @@
         this.plansInForce = Set.copyOf(plans.values());
         this.longestTimeoutMs =
                 requestClasses.values().stream().mapToDouble(c -> c.timeoutMs).max().orElse(0);
+        this.longestDeduplicationWindowMs =
+                requestClasses.values().stream()
+                        .mapToDouble(c -> c.deduplicationWindowMs)
+                        .max()
+                        .orElse(0);
     }
 
     public long revision() {
@@ -79,6 +85,11 @@
         return longestTimeoutMs;
     }
 
+    /** The longest deduplication window of all request classes, or 0 if there are none. */
+    public double longestDeduplicationWindowMs() {
+        return longestDeduplicationWindowMs;
+    }
+
     /**
      * Returns the request class with a name.
      *
--- a/gateway/src/main/java/tinford/routing/client/ClientPool.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientPool.java
@@ -41,6 +41,7 @@
     final ClientLimits limits;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final OpenRequests openRequests;
+    private final ExecutedIds executedIds;
     private final ClientRequestFactory requestFactory;
     private Listener listener;
     private Runnable onAllClosed;
@@ -60,6 +61,7 @@
         this.context = context;
         this.limits = limits;
         this.openRequests = new OpenRequests(limits);
+        this.executedIds = new ExecutedIds(context);
         this.requestFactory = new ClientRequestFactory(limits, openRequests, catalog);
     }
 
@@ -188,6 +190,10 @@
             reject(request, 0);
             return;
         }
+        if (ExecutedIds.isKeptFor(request.requestClass) && executedIds.contains(request.id)) {
+            fail(request);
+            return;
+        }
         try {
             context.events().requestArrived(request);
         } catch (RuntimeException | Error e) {
@@ -222,6 +228,18 @@
         finish(request);
         context.events().clientDisconnected(request);
         request.closeUnsentAttempts();
+        keepIdIfExecuted(request);
+    }
+
+    /** Keeps the id of a request whose client has left, if it must not be sent again. */
+    void keepIdIfExecuted(ClientRequest request) {
+        if (request.isExecutedOnce()) {
+            keepExecutedId(request.id);
+        }
+    }
+
+    void keepExecutedId(long id) {
+        executedIds.add(id, requestFactory.longestRetentionMs());
     }
 
     /**
--- a/gateway/src/main/java/tinford/routing/client/ClientRequest.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientRequest.java
@@ -46,6 +46,12 @@
         return !attempts.isEmpty();
     }
 
+    /** Whether a server may have executed the request, which then must not be sent again. */
+    boolean isExecutedOnce() {
+        return ExecutedIds.isKeptFor(requestClass)
+                && attempts.stream().anyMatch(ServerAttempt::mayHaveRun);
+    }
+
     /** Abandons attempts that servers cannot have executed, as they are not sent completely. */
     void closeUnsentAttempts() {
         attempts.forEach(ServerAttempt::closeIfUnsent);
--- a/gateway/src/main/java/tinford/routing/client/ClientRequestFactory.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientRequestFactory.java
@@ -14,6 +14,7 @@
     private final OpenRequests openRequests;
     private Catalog catalog;
     private double longestTimeoutMs;
+    private double longestWindowMs;
 
     ClientRequestFactory(ClientLimits limits, OpenRequests openRequests, Catalog catalog) {
         this.limits = limits;
@@ -25,6 +26,7 @@
     void useCatalog(Catalog next) {
         catalog = next;
         longestTimeoutMs = Math.max(longestTimeoutMs, next.longestTimeoutMs());
+        longestWindowMs = Math.max(longestWindowMs, next.longestDeduplicationWindowMs());
     }
 
     /** The longest timeout of the request classes in all catalogs so far. */
@@ -32,6 +34,11 @@
         return longestTimeoutMs;
     }
 
+    /** How long a client may send a request again after it has left. */
+    double longestRetentionMs() {
+        return Math.max(longestTimeoutMs, longestWindowMs);
+    }
+
     /**
      * Creates a request.
      *
--- a/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
+++ b/gateway/src/main/java/tinford/routing/client/ResponseQueue.java
@@ -151,6 +151,9 @@
 
     private void keep(ResponseSlot slot, byte[] response, long responseBytes) {
         slot.response = response;
+        if (slot.request != null && slot.request.isExecutedOnce()) {
+            slot.executedId = slot.request.id;
+        }
         slot.request = null; // it has its final answer, and must not be held until this is written
         hold(slot, ResponseSlot.HEAP_BYTES + responseBytes);
     }
@@ -223,6 +226,9 @@
         for (ResponseSlot slot = first; slot != null; slot = slot.next) {
             if (slot.source != null) {
                 slot.source.close(CloseReason.CANCELLED);
+                pool.keepIdIfExecuted(slot.request);
+            } else if (slot.executedId != null) {
+                pool.keepExecutedId(slot.executedId);
             } else if (slot.request != null && !slot.request.isFinished()) {
                 pool.clientDisconnected(slot.request);
             }
--- a/gateway/src/main/java/tinford/routing/client/ResponseSlot.java
+++ b/gateway/src/main/java/tinford/routing/client/ResponseSlot.java
@@ -27,6 +27,9 @@
     /** Memory that is counted for this slot: its command, its kept response, a reservation. */
     long heldBytes;
 
+    /** The id of the answered request if it must not be sent to a server again, or null. */
+    Long executedId;
+
     /** The source of a streamed response, which may be waiting for earlier ones, or null. */
     ResponseSource source;
 
--- a/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
+++ b/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
@@ -183,7 +183,7 @@
             int meteredUse,
             double settledUnits,
             double[] loadReport) {
-        if (!attempt.markEnded()) {
+        if (!attempt.markEnded(outcome)) {
             return;
         }
         ClientRequest request = (ClientRequest) attempt.request;
--- a/gateway/src/main/java/tinford/routing/upstream/ServerAttempt.java
+++ b/gateway/src/main/java/tinford/routing/upstream/ServerAttempt.java
@@ -1,5 +1,6 @@
 package tinford.routing.upstream;
 
+import tinford.api.AttemptOutcome;
 import tinford.transport.CloseReason;
 import tinford.transport.EventLoop;
 
@@ -18,6 +19,7 @@
     private EventLoop.Timer timeout;
     private EventLoop.Timer sendDeadline;
     private boolean ended;
+    private boolean mayHaveRun = true;
 
     public ServerAttempt(ForwardedRequest request, int number, double startedAtMs) {
         this.request = request;
@@ -46,15 +48,21 @@
     }
 
     /** Marks the attempt as ended and cancels its timers; returns false if it had already ended. */
-    public boolean markEnded() {
+    public boolean markEnded(AttemptOutcome outcome) {
         if (ended) {
             return false;
         }
         ended = true;
+        mayHaveRun = outcome.mayHaveRun;
         cancelTimers();
         return true;
     }
 
+    /** Whether a server may have executed the command, also if the attempt has not ended. */
+    public boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
     /** Abandons the attempt by closing its connection, unless the attempt has ended. */
     public void close(CloseReason reason) {
         if (!ended && connection != null) {
