Count the quotas of tenants in the memory budget

Cause: a quota for each tenant, kept for 58 s after its last request, without a bound.

Change: the module counts a quota of 512 bytes with GatewayActions.reserveMemory before it makes one (a quarter of the connections' memory at most). Without room TenantQuotas drops the least recently used one of which nothing is open and whose hard limit is full; its usage is read from the counter again.

MemoryLimitTest.requestsUnderEverNewNamesAreAllAnswered fails on the code before all of this (the gateway stood still for over 2.3 s).

--- a/gateway/src/main/java/tinford/api/GatewayActions.java
+++ b/gateway/src/main/java/tinford/api/GatewayActions.java
@@ -2,6 +2,18 @@
 
 /** Receives the actions of a decision module; the I/O layer carries them out in order. */
 public interface GatewayActions {
+    /**
+     * Counts heap memory that the decision module is about to hold for longer than a request.
+     *
+     * @return false if there is none, and nothing was counted
+     */
+    default boolean reserveMemory(long bytes) {
+        return true;
+    }
+
+    /** Returns memory counted by {@link #reserveMemory}. */
+    default void releaseMemory(long bytes) {}
+
     /**
      * Sends an attempt of a request. The attempts of a request are numbered 0, 1, 2 ... in the
      * order of these calls.
--- a/gateway/src/main/java/tinford/decision/DecisionEngine.java
+++ b/gateway/src/main/java/tinford/decision/DecisionEngine.java
@@ -30,6 +30,7 @@
     private static final double TICK_MS = 50;
 
     private static final double WATCH_RETRY_MS = 500;
+    private static final double NO_MEMORY_RETRY_AFTER_MS = 1000;
     private static final int TICKS_PER_RANKING = 4;
     private static final int TICKS_PER_CONNECTION_CHECK = 2;
     private static final int TICKS_PER_QUOTA_CLEANUP = 200;
@@ -153,7 +154,7 @@
             balancer.closeIdleConnections(batch);
         }
         if (ticks % TICKS_PER_QUOTA_CLEANUP == 0) {
-            quotas.evictIdleTenants(nowMs);
+            quotas.evictIdleTenants(batch);
         }
         admission.expireQueued(batch);
     }
@@ -165,7 +166,12 @@
     @Override
     public void requestArrived(Request request) {
         double nowMs = batch.nowMs;
-        TenantQuota quota = quotas.quotaOf(request.tenant, nowMs);
+        TenantQuota quota = quotas.quotaOf(batch, request.tenant);
+        if (quota == null) {
+            batch.actions.reject(request, NO_MEMORY_RETRY_AFTER_MS);
+            return;
+        }
+        quota.requestOpened();
         PendingRequest pending = new PendingRequest(request, quota, arrivals++, nowMs);
         pending.updateLatestSend(balancer.typicalLatencyMs(request));
         request.attach(pending);
@@ -194,7 +200,10 @@
 
     @Override
     public void clientDisconnected(Request request) {
-        completion.complete(batch, PendingRequest.of(request));
+        PendingRequest pending = PendingRequest.of(request);
+        if (pending != null) {
+            completion.complete(batch, pending);
+        }
     }
 
     @Override
--- a/gateway/src/main/java/tinford/decision/QuotaLimiter.java
+++ b/gateway/src/main/java/tinford/decision/QuotaLimiter.java
@@ -1,8 +1,6 @@
 package tinford.decision;
 
 import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Random;
 import tinford.api.AttemptOutcome;
 import tinford.api.CounterSettings;
@@ -24,13 +22,10 @@
 
     private final CounterSettings settings;
     private final QuotaDecisionHandler decisionHandler;
-    private final PlanFairness fairness;
-    private final RequestSizeModel sizes;
-    private final GatewayLifecycle lifecycle;
     private final Random random;
     private final CounterPacer pacer;
     private final CounterCalls calls = new CounterCalls();
-    private final Map<Long, TenantQuota> quotas = new HashMap<>();
+    private final TenantQuotas quotas;
 
     /** Requests that may be waiting for the counter, in the order of arrival. */
     private final ArrayDeque<PendingRequest> waiting = new ArrayDeque<>();
@@ -45,27 +40,26 @@
             Random random) {
         this.settings = settings;
         this.decisionHandler = decisionHandler;
-        this.fairness = fairness;
-        this.sizes = sizes;
-        this.lifecycle = lifecycle;
+        this.quotas = new TenantQuotas(fairness, sizes, lifecycle);
         this.random = random;
         this.pacer = new CounterPacer(settings, gatewayCount);
     }
 
-    /** Returns the tenant's quota, under the tenant's current plan. */
-    TenantQuota quotaOf(Tenant tenant, double nowMs) {
-        TenantQuota quota = quotas.get(tenant.id);
-        if (quota == null) {
-            quota = new TenantQuota(tenant, fairness, sizes, lifecycle, nowMs);
-            quotas.put(tenant.id, quota);
+    /**
+     * Returns the tenant's quota, under the tenant's current plan; null if there is no memory for a
+     * new tenant.
+     */
+    TenantQuota quotaOf(Batch batch, Tenant tenant) {
+        TenantQuota quota = quotas.getOrCreate(batch, tenant);
+        if (quota != null) {
+            quota.changePlan(tenant, batch.nowMs);
         }
-        quota.changePlan(tenant, nowMs);
         return quota;
     }
 
     /** Bounds memory: after two windows without a request a tenant's totals no longer count. */
-    void evictIdleTenants(double nowMs) {
-        quotas.values().removeIf(quota -> quota.isEvictable(nowMs));
+    void evictIdleTenants(Batch batch) {
+        quotas.evictIdle(batch.actions, batch.nowMs);
     }
 
     /** Returns the number of tracked tenants and counter calls. */
--- a/gateway/src/main/java/tinford/decision/RequestCompletion.java
+++ b/gateway/src/main/java/tinford/decision/RequestCompletion.java
@@ -56,6 +56,9 @@
         if (pending.offered && neverSent && !pending.completed) {
             batch.policy.requestRejected(pending.request, pending.fleetWeight());
         }
+        if (!pending.completed) {
+            pending.quota.requestCompleted();
+        }
         pending.completed = true;
         queue.remove(pending);
         if (pending.countedWindow != null && neverSent) {
--- a/gateway/src/main/java/tinford/decision/TenantQuota.java
+++ b/gateway/src/main/java/tinford/decision/TenantQuota.java
@@ -47,6 +47,7 @@
     private double unreportedUnits;
     private double lastRequestMs = Double.NEGATIVE_INFINITY;
     private int openAttempts;
+    private int openRequests;
 
     TenantQuota(
             Tenant tenant,
@@ -298,6 +299,14 @@
         return taken;
     }
 
+    void requestOpened() {
+        openRequests++;
+    }
+
+    void requestCompleted() {
+        openRequests--;
+    }
+
     void attemptStarted() {
         openAttempts++;
     }
@@ -339,6 +348,14 @@
         return Math.max(1, plan.maxOpenRequests * Math.min(1, part));
     }
 
+    /**
+     * Returns whether this state can be dropped where memory is short: nothing of the tenant is
+     * open, and a new state would not allow more than its hard limit.
+     */
+    boolean mayEvictEarly(double nowMs) {
+        return openAttempts == 0 && openRequests == 0 && hardLimit.isFull(nowMs);
+    }
+
     /** Returns whether this state no longer affects any decision and can be dropped. */
     boolean isEvictable(double nowMs) {
         return nowMs - lastRequestMs > 2 * MAX_WINDOW_MS
--- a/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
+++ b/gateway/src/main/java/tinford/routing/dispatch/RequestDispatcher.java
@@ -24,6 +24,7 @@
 import tinford.transport.Clock;
 import tinford.transport.CloseReason;
 import tinford.transport.EventLoop;
+import tinford.transport.MemoryBudget;
 
 /**
  * Connects the decision module to the network. All input of one event loop iteration is passed to
@@ -32,6 +33,10 @@
  */
 public final class RequestDispatcher implements RoutingContext, AttemptListener, GatewayActions {
     private static final System.Logger LOG = System.getLogger("tinford.routing");
+
+    /** The part of the memory budget that the decision module may hold. */
+    private static final int MODULE_MEMORY_DIVISOR = 4;
+
     private final EventLoop loop;
     private final Clock clock = new Clock();
     private final RateLimitedWarnings warnings = new RateLimitedWarnings(LOG);
@@ -47,6 +52,9 @@
     private double nowMs = clock.nowMs();
     private double previousBatchMs = nowMs;
 
+    /** Memory that the decision module holds. */
+    private long moduleBytes;
+
     /**
      * @param maxAttempts limit on the attempts of one request
      * @param descriptors limit on open connections, not counting those of the admin API
@@ -206,6 +214,24 @@
         }
     }
 
+    @Override
+    public boolean reserveMemory(long bytes) {
+        MemoryBudget budget = loop.memoryBudget();
+        boolean isWithinPart = moduleBytes + bytes <= budget.limitBytes() / MODULE_MEMORY_DIVISOR;
+        if (!isWithinPart || !budget.isAvailable(moduleBytes, bytes)) {
+            return false;
+        }
+        moduleBytes += bytes;
+        budget.add(bytes);
+        return true;
+    }
+
+    @Override
+    public void releaseMemory(long bytes) {
+        moduleBytes -= bytes;
+        loop.memoryBudget().release(bytes);
+    }
+
     @Override
     public void sendAttempt(Request request, Server server, double timeoutMs, double sendWithinMs) {
         ServerAttempt attempt = ((ClientRequest) request).addAttempt(nowMs);
--- a/gateway/src/test/java/tinford/program/MemoryLimitTest.java
+++ b/gateway/src/test/java/tinford/program/MemoryLimitTest.java
@@ -251,6 +251,44 @@
         assertHeapSufficed();
     }
 
+    /** Requests under ever new names filled the heap with the quotas of their tenants. */
+    @Test
+    public void requestsUnderEverNewNamesAreAllAnswered() throws Exception {
+        final int requests = 3000;
+        openServers(SERVERS);
+        for (ServerSocket server : servers) {
+            answerAll(server);
+        }
+        TestConnection other = startGateway();
+        connectClients(20);
+        for (int i = 0; i < clients.size(); i++) {
+            TestConnection client = clients.get(i);
+            int firstId = FIRST_OTHER_ID * (i + 1);
+            startDaemon(
+                    () -> {
+                        for (int id = firstId; id < firstId + requests; id++) {
+                            client.send(newNameCommand(id));
+                        }
+                    });
+        }
+        for (int i = 0; i < clients.size(); i++) {
+            int firstId = FIRST_OTHER_ID * (i + 1);
+            for (int id = firstId; id < firstId + requests; id++) {
+                String answer = String.valueOf(clients.get(i).receive());
+                assertTrue(
+                        answer.equals("for " + requestId(id)) || answer.startsWith("-BUSY"),
+                        answer);
+            }
+            String answer = other.send(readCommand(i + 1)).receive();
+            assertTrue(answer.startsWith("for ") || answer.startsWith("-BUSY"), answer);
+        }
+        assertHeapSufficed();
+    }
+
+    private static String newNameCommand(int id) {
+        return command("Q.ASK", requestId(id), requestId(id), terms("read", ""));
+    }
+
     private static String wholeCommand(int id, String body) {
         return command("Q.DO", requestId(7), requestId(id), terms("write", ""), body);
     }
