Time of long bodies by progress again; the end of an unread time

Cause: two slips of the memory budget. A body of 64 to 81 KiB had 2.3 s in all, where progress gave it more before; and a read that just filled its room left it open whether input was still unread, so that the next command could count as sent long ago.

Change: RespReader tells whether it is a long body that is incomplete; after such a read the socket is looked at once more.

Measured: MemoryLimitTest.commandAfterOneThatWaitedForMemoryHasItsWholeTime passes.

--- a/gateway/src/main/java/tinford/protocol/RespReader.java
+++ b/gateway/src/main/java/tinford/protocol/RespReader.java
@@ -51,6 +51,7 @@
     private boolean isArray;
     private int elementCount;
     private int requiredBytes;
+    private boolean requiresLongBody;
     private long valueBytes;
 
     public RespReader() {
@@ -73,6 +74,7 @@
         setSource(source, from, to);
         valueStart = from;
         requiredBytes = 0;
+        requiresLongBody = false;
         elementCount = 1;
         isArray = position < limit && bytes[position] == '*';
         if (isArray) {
@@ -132,6 +134,7 @@
         int withLineEnd = (int) length + LINE_END_BYTES;
         if (limit - position < withLineEnd) {
             requiredBytes = position - valueStart + withLineEnd;
+            requiresLongBody = length > MAX_BULK_BYTES;
             return false;
         }
         setElement(i, position, position + (int) length);
@@ -253,6 +256,11 @@
         return requiredBytes;
     }
 
+    /** After {@link #parse} returned 0: whether a long body is incomplete. */
+    public boolean requiresLongBody() {
+        return requiresLongBody;
+    }
+
     public long valueBytes() {
         return valueBytes;
     }
--- a/gateway/src/main/java/tinford/routing/client/ArrivalTime.java
+++ b/gateway/src/main/java/tinford/routing/client/ArrivalTime.java
@@ -26,6 +26,11 @@
         unreadSinceMs = 0;
     }
 
+    /** Whether input may have been left unread. */
+    boolean mayBeUnread() {
+        return unreadSinceMs > 0;
+    }
+
     double earliestMs() {
         return unreadSinceMs > 0 ? unreadSinceMs : context.previousBatchMs();
     }
--- a/gateway/src/main/java/tinford/routing/client/ClientConnection.java
+++ b/gateway/src/main/java/tinford/routing/client/ClientConnection.java
@@ -138,7 +138,15 @@
             count++;
             more = !incoming.discardRejected() && !pauseCommandsIfCongested() && readCommand();
         }
-        if (!areCommandsPaused && !incoming.awaitsMemory() && buffer.isInputDrained()) {
+        if (arrival.mayBeUnread() && !areCommandsPaused && !incoming.awaitsMemory()) {
+            endUnreadIfDrained();
+        }
+    }
+
+    /** A read that just filled its room does not tell whether the socket holds more. */
+    private void endUnreadIfDrained() {
+        boolean isEmpty = buffer.unreadBytes() == 0;
+        if (buffer.isInputDrained() || isEmpty && hasNoPendingInput()) {
             arrival.endUnread();
         }
     }
@@ -179,7 +187,7 @@
         RespReader reader = pool.respReader;
         int length = reader.parse(buffer.bytes(), buffer.readIndex(), buffer.readLimit());
         if (length == 0) {
-            readOn(reader.requiredBytes());
+            readOn(reader);
             return false;
         }
         incoming.onComplete();
@@ -204,9 +212,8 @@
         return true;
     }
 
-    private void readOn(int requiredBytes) {
-        boolean mayWait = responses.isEmpty() || requiredBytes <= RespReader.MAX_VALUE_BYTES;
-        switch (incoming.onPartial(requiredBytes, mayWait, pool.context.nowMs())) {
+    private void readOn(RespReader reader) {
+        switch (incoming.onPartial(reader, responses.isEmpty(), pool.context.nowMs())) {
             case AWAIT_MEMORY -> {
                 memory.warnShort(pool.context);
                 arrival.startUnread();
--- a/gateway/src/main/java/tinford/routing/client/IncomingCommand.java
+++ b/gateway/src/main/java/tinford/routing/client/IncomingCommand.java
@@ -65,17 +65,17 @@
     /**
      * Called when the unread bytes hold no complete command.
      *
-     * @param requiredBytes how many bytes its first elements need, or 0 if that is unknown
-     * @param mayWait whether the command may wait for memory; otherwise it is rejected
+     * @param reader which has parsed the unread bytes
+     * @param mayWait whether a long command may wait for memory; otherwise it is rejected
      */
-    Step onPartial(int requiredBytes, boolean mayWait, double nowMs) {
-        boolean isLong = reservedBytes > RespReader.MAX_VALUE_BYTES;
+    Step onPartial(RespReader reader, boolean mayWait, double nowMs) {
+        boolean isLong = reservedBytes > 0 && reader.requiresLongBody();
         if (buffer.unreadBytes() == 0) {
             partialSinceMs = 0;
         } else if (partialSinceMs == 0 || isLong) {
             partialSinceMs = nowMs;
         }
-        int neededBytes = Math.max(requiredBytes, bytesForNextLine());
+        int neededBytes = Math.max(reader.requiredBytes(), bytesForNextLine());
         if (neededBytes <= readLimitBytes() || awaitedBytes > 0) {
             return Step.READ_ON;
         }
@@ -84,7 +84,7 @@
             reserve();
             return Step.READ_ON;
         }
-        if (mayWait) {
+        if (mayWait || !reader.requiresLongBody()) {
             memory.budget().await(this);
             return Step.AWAIT_MEMORY;
         }
--- a/gateway/src/test/java/tinford/program/MemoryLimitTest.java
+++ b/gateway/src/test/java/tinford/program/MemoryLimitTest.java
@@ -251,6 +251,30 @@
         assertHeapSufficed();
     }
 
+    /** What comes after a command that waited for memory does not count as sent during the wait. */
+    @Test
+    public void commandAfterOneThatWaitedForMemoryHasItsWholeTime() throws Exception {
+        openServers(1);
+        TestConnection probe = startGateway();
+        answerAll(servers[0]);
+        String half = wholeCommand(9, "x".repeat(64_000)).substring(0, 60_000);
+        connectClients(115);
+        for (TestConnection client : clients) {
+            client.send(half);
+        }
+        pingFor(probe, 600);
+        TestConnection waiting = connectClient();
+        long startNanos = System.nanoTime();
+        waiting.send(wholeCommand(1, "y".repeat(64_000)));
+        assertEquals(waiting.receive(), "for " + requestId(1));
+        long waitMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(waitMs > 500, "waited for " + waitMs + " ms only");
+        pingFor(probe, 1000);
+        String brief = command("Q.ASK", requestId(7), requestId(2), terms("read", ""));
+        waiting.send(brief.replace("d=4000", "d=0900"));
+        assertEquals(waiting.receive(), "for " + requestId(2));
+    }
+
     /** Requests under ever new names filled the heap with the quotas of their tenants. */
     @Test
     public void requestsUnderEverNewNamesAreAllAnswered() throws Exception {
