--- a/gateway/src/test/java/tinford/program/MemoryLimitTest.java
+++ b/gateway/src/test/java/tinford/program/MemoryLimitTest.java
@@ -32,6 +32,7 @@
     private static final int WARM_UP_MS = 3000;
     private static final int WARM_UP_CLIENTS = 30;
     private static final long SERVICE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long PIECE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int SERVERS = 8;
     private static final int CLIENTS = 11;
     private static final int COMMANDS = 50;
@@ -251,6 +252,32 @@
         assertHeapSufficed();
     }
 
+    /** Whole commands that many clients wrote slowly were reset on their way in. */
+    @Test
+    public void commandsWrittenSlowlyByManyAreAllAnswered() throws Exception {
+        final int pieces = 10;
+        openServers(1);
+        startGateway();
+        answerAll(servers[0]);
+        connectClients(120);
+        for (int piece = 0; piece < pieces; piece++) {
+            for (int i = 0; i < clients.size(); i++) {
+                String whole = wholeCommand(i + 1, "s".repeat(60_000));
+                int length = whole.length();
+                String part =
+                        whole.substring(piece * length / pieces, (piece + 1) * length / pieces);
+                clients.get(i).send(part);
+            }
+            LockSupport.parkNanos(PIECE_INTERVAL_NANOS);
+        }
+        for (int i = 0; i < clients.size(); i++) {
+            String answer = String.valueOf(clients.get(i).receive());
+            assertTrue(
+                    answer.equals("for " + requestId(i + 1)) || answer.startsWith("-BUSY"), answer);
+        }
+        assertHeapSufficed();
+    }
+
     /** What comes after a command that waited for memory does not count as sent during the wait. */
     @Test
     public void commandAfterOneThatWaitedForMemoryHasItsWholeTime() throws Exception {
